--- /dev/null
+++ b/bamboojunction/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP face towards callers."""
--- /dev/null
+++ b/bamboojunction/checks/__init__.py
@@ -0,0 +1,1 @@
+"""The system-check framework that reports errors before anything runs."""
--- /dev/null
+++ b/bamboojunction/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: the schema with every default, and the INI loader."""
--- /dev/null
+++ b/bamboojunction/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: messages in, outcomes out, time passed in."""
--- /dev/null
+++ b/bamboojunction/core/calls.py
@@ -0,0 +1,27 @@
+"""The call as the decisions see it."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Call:
+    """Describe one call for one service.
+
+    ``deadline`` is in seconds on the local monotonic clock. ``allowance`` counts the retries that
+    this call and everything below it may still spend. ``key`` is the text of an action key, or
+    empty; ``attempt`` numbers the attempts of a keyed call and is set by its home.
+    """
+
+    action: str
+    kind: str
+    service: str
+    deadline: float
+    allowance: int = 0
+    depth: int = 0
+    key: str = ""
+    attempt: int = 0
+    method: str = "GET"
+    path: str = "/"
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    traceparent: str = ""
--- /dev/null
+++ b/bamboojunction/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The view of which upstream instances exist."""
--- /dev/null
+++ b/bamboojunction/core/once/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once calls: action keys, homes, gate records and sealing."""
--- /dev/null
+++ b/bamboojunction/core/outcomes.py
@@ -0,0 +1,66 @@
+"""The three outcomes of a call: ran, not run and unknown."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class NotRunReason(StrEnum):
+    """Say why a call was refused before any of it ran."""
+
+    SHED = "shed"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    NO_UPSTREAM = "no-upstream"
+    UNREACHABLE = "unreachable"
+    LIMIT = "limit"
+    BUDGET = "retry-budget"
+    KEY_REQUIRED = "key-required"
+    KEY_INVALID = "key-invalid"
+    POISONED = "poisoned"
+    CANCELLED = "cancelled"
+    TOO_LARGE = "too-large"
+    SETTLED = "settled-not-run"
+    FULL = "full"
+
+
+class UnknownReason(StrEnum):
+    """Say why nobody can tell whether a call ran."""
+
+    LOST_LINK = "lost-link"
+    LOST_UPSTREAM = "lost-upstream"
+    LOST_HOME = "lost-home"
+    TRUNCATED = "truncated-answer"
+    TOO_LARGE = "answer-too-large"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    WINDOW = "window-closed"
+
+
+@dataclass(slots=True, frozen=True)
+class Ran:
+    """Carry the upstream's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    allowance_left: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class NotRun:
+    """Promise that nothing ran; ``retry_after`` is in seconds."""
+
+    reason: NotRunReason
+    retry_after: float = 0.0
+    allowance_left: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Unknown:
+    """Admit that the call may or may not have run."""
+
+    reason: UnknownReason
+    allowance_left: int = 0
+
+
+Outcome = Ran | NotRun | Unknown
--- /dev/null
+++ b/bamboojunction/core/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Detection and refusal of requests that crash upstreams."""
--- /dev/null
+++ b/bamboojunction/core/retries/__init__.py
@@ -0,0 +1,1 @@
+"""The chain-wide retry allowance and the retry budget of each service."""
--- /dev/null
+++ b/bamboojunction/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of an upstream for each attempt, ejection and spill."""
--- /dev/null
+++ b/bamboojunction/core/table/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' table: rows, parsing, versions and deltas."""
--- /dev/null
+++ b/bamboojunction/management/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line programs."""
--- /dev/null
+++ b/bamboojunction/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command-line program."""
--- /dev/null
+++ b/bamboojunction/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""The WebSocket links between nodes and their messages."""
--- /dev/null
+++ b/bamboojunction/nodes/messages.py
@@ -0,0 +1,168 @@
+"""The messages on a link between two nodes.
+
+Each message is a CBOR array that starts with its tag. Receivers ignore trailing fields that they do
+not know, so a newer node can add fields at the end.
+"""
+
+from enum import IntEnum
+
+import msgspec
+
+
+class Target(IntEnum):
+    """Say in which role the receiver handles a call."""
+
+    GATE = 0
+    HOME = 1
+
+
+class Verdict(IntEnum):
+    """Say which outcome an answer carries."""
+
+    RAN = 0
+    NOT_RUN = 1
+    UNKNOWN = 2
+
+
+class Message(msgspec.Struct, array_like=True, gc=False):
+    """Be the base of all messages."""
+
+
+class Hello(Message, tag=0):
+    """Open a link; both sides send it first."""
+
+    instance: str
+    incarnation: str
+    proof: bytes = b""
+    nonce: bytes = b""
+
+
+class CallRequest(Message, tag=1):
+    """Ask the receiver to serve a call; ``remaining`` is the time left in seconds."""
+
+    request_id: int
+    target: int
+    action: str
+    kind: str
+    service: str
+    remaining: float
+    allowance: int
+    depth: int
+    key: str
+    attempt: int
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    traceparent: str
+
+
+class Load(Message):
+    """Carry a gate's load report."""
+
+    queued: int
+    in_flight: int
+    limit: int
+    level_rank: int
+    level_fraction: float
+    draining: bool
+
+
+class CallAnswer(Message, tag=2):
+    """Answer a call request; ``reason`` is empty when the call ran."""
+
+    request_id: int
+    verdict: int
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    reason: str
+    retry_after: float
+    allowance_left: int
+    service_seconds: float
+    load: Load | None
+
+
+class Cancel(Message, tag=3):
+    """Withdraw a call request whose caller went away."""
+
+    request_id: int
+
+
+class Entry(Message):
+    """Carry one announcement of the membership view."""
+
+    instance: str
+    incarnation: str
+    service: str
+    data_centre: str
+    region: str
+    address: str
+    started_at: float
+    sequence: int
+    state: str
+
+
+class ViewDelta(Message, tag=4):
+    """Carry announcements that the receiver may not know."""
+
+    entries: list[Entry]
+
+
+class TableUpdate(Message, tag=5):
+    """Carry a whole version of the table as comma-separated text."""
+
+    version: int
+    edit_id: str
+    text: str
+
+
+class Digest(Message, tag=6):
+    """Tell what the sender knows, so that the receiver sends what is missing."""
+
+    table_version: int
+    view_hash: int
+
+
+class PoisonBan(Message, tag=7):
+    """Tell of a banned fingerprint; ``remaining`` is in seconds."""
+
+    fingerprint: int
+    remaining: float
+
+
+class Heartbeat(Message, tag=8):
+    """Show that the sender lives; the receiver sends it back with ``echo`` set."""
+
+    token: int
+    echo: bool = False
+
+
+class Seal(Message, tag=9):
+    """Ask a gate to refuse a key for good unless it has already seen it."""
+
+    request_id: int
+    key: str
+
+
+class SealAnswer(Message, tag=10):
+    """Answer a seal: sealed now, or what the gate knows of the key."""
+
+    request_id: int
+    sealed: bool
+    answer: CallAnswer | None = None
+
+
+AnyMessage = (
+    Hello
+    | CallRequest
+    | CallAnswer
+    | Cancel
+    | ViewDelta
+    | TableUpdate
+    | Digest
+    | PoisonBan
+    | Heartbeat
+    | Seal
+    | SealAnswer
+)
--- /dev/null
+++ b/bamboojunction/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see of a node: health and state pages."""
--- /dev/null
+++ b/bamboojunction/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform's object API."""
--- /dev/null
+++ b/bamboojunction/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/bamboojunction/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP client towards the upstream beside the node."""
--- /dev/null
+++ b/devtools/bamboo_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches that measure the decisions and the running path."""
--- /dev/null
+++ b/devtools/bamboo_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and benches only."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bamboojunction, a folder for each feature."""
--- /dev/null
+++ b/tests/links/test_codec.py
@@ -0,0 +1,22 @@
+"""Messages survive the codec; malformed frames are errors, not exceptions."""
+
+import unittest
+
+from bamboojunction.nodes.codec import decode, encode
+from bamboojunction.nodes.messages import CallAnswer, Heartbeat, Load
+
+
+class CodecTests(unittest.TestCase):
+    def test_answer_with_load_survives_round_trip(self):
+        load = Load(1, 2, 3, 4, 0.5, False)
+        answer = CallAnswer(7, 0, 200, [("a", "b")], b"body", "", 0.0, 1, 0.01, load)
+        self.assertEqual(decode(encode(answer)).ok(), answer)
+
+    def test_malformed_frames_are_errors(self):
+        for frame in (b"", b"\x80", b"\xff", b"\x81\x18\x63", b"\xa1\x01"):
+            with self.subTest(frame=frame):
+                self.assertTrue(decode(frame).is_err())
+
+    def test_unknown_trailing_fields_are_ignored(self):
+        frame = b"\x84\x08\x05\xf5\x19\x03\xe8"
+        self.assertEqual(decode(frame).ok(), Heartbeat(5, True))
