--- /dev/null
+++ b/bamboojunction/callers/app.py
@@ -0,0 +1,161 @@
+"""The HTTP application that callers and the upstream beside the node talk to."""
+
+import asyncio
+from collections.abc import Callable
+
+import falcon
+import falcon.asgi
+
+from bamboojunction.callers import headers as names
+from bamboojunction.callers.requests import IncomingCall, RequestReader
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Ran, Unknown
+from bamboojunction.core.table.rows import Effect
+from bamboojunction.node.calling import CallRouter
+from bamboojunction.node.keyed import KeyedCalls
+from bamboojunction.operators.state import NodeState, render_state
+
+RECEIVE_KEY = "bamboojunction.receive"
+
+
+class CallSink:
+    """Take every request outside the node's own pages as a call."""
+
+    __slots__ = ("_body_max_bytes", "_keyed", "_reader", "_router", "is_draining")
+
+    def __init__(
+        self, reader: RequestReader, router: CallRouter, keyed: KeyedCalls, body_max_bytes: int
+    ):
+        self._reader = reader
+        self._router = router
+        self._keyed = keyed
+        self._body_max_bytes = body_max_bytes
+        self.is_draining = False
+
+    async def __call__(self, request: falcon.asgi.Request, response: falcon.asgi.Response, **_):
+        """Route the request's call and answer with its outcome."""
+        body = await self._read_body(request)
+        if body is None:
+            self._write(response, NotRun(NotRunReason.TOO_LARGE))
+            return
+        path = request.relative_uri
+        incoming = self._reader.read(request.method, path, request.headers_lower, body)
+        if incoming.is_err():
+            response.status = falcon.HTTP_400
+            response.text = f"{incoming.err()}\n"
+            response.set_header(names.OUTCOME, "not-run")
+            response.set_header(names.REASON, "bad-request")
+            return
+        outcome = await self._route_watched(request, incoming.ok())
+        self._write(response, outcome)
+
+    async def _read_body(self, request: falcon.asgi.Request) -> bytes | None:
+        length = request.content_length or 0
+        if length > self._body_max_bytes:
+            return None
+        body = await request.stream.read(self._body_max_bytes + 1)
+        return body if len(body) <= self._body_max_bytes else None
+
+    async def _route_watched(self, request, incoming: IncomingCall) -> Outcome:
+        """Route a call and cancel it when its caller goes away."""
+        task = asyncio.current_task()
+        watcher = asyncio.create_task(_cancel_on_disconnect(request.scope[RECEIVE_KEY], task))
+        if incoming.parent is not None:
+            incoming.parent.children.add(task)
+        try:
+            return await self._route(incoming)
+        finally:
+            watcher.cancel()
+            if incoming.parent is not None:
+                incoming.parent.children.discard(task)
+
+    async def _route(self, incoming: IncomingCall) -> Outcome:
+        call = incoming.call
+        if self.is_draining and incoming.parent is None:
+            return NotRun(NotRunReason.DRAINING, allowance_left=call.allowance)
+        if incoming.row.effect is Effect.ONCE:
+            outcome = await self._keyed.route(call, incoming.row)
+        else:
+            outcome = await self._router.route(call, incoming.row)
+        if incoming.parent is not None:
+            incoming.parent.pool.give_back(outcome.allowance_left)
+        return outcome
+
+    def _write(self, response: falcon.asgi.Response, outcome: Outcome) -> None:
+        response.set_header(names.HOME, self._keyed.home_text)
+        response.set_header(names.ALLOWANCE_LEFT, str(outcome.allowance_left))
+        match outcome:
+            case Ran(status=status, headers=headers, body=body):
+                response.status = status
+                response.data = body
+                for name, value in headers:
+                    response.append_header(name, value)
+                response.set_header(names.OUTCOME, "ran")
+            case NotRun(reason=reason, retry_after=retry_after):
+                response.status = falcon.HTTP_503
+                response.set_header(names.OUTCOME, "not-run")
+                response.set_header(names.REASON, reason.value)
+                response.set_header(names.RETRY_AFTER_MS, str(round(retry_after * 1000)))
+            case Unknown(reason=reason):
+                response.status = falcon.HTTP_504
+                response.set_header(names.OUTCOME, "unknown")
+                response.set_header(names.REASON, reason.value)
+
+
+class HomePage:
+    """Tell callers the home prefix for new keys."""
+
+    __slots__ = ("_keyed",)
+
+    def __init__(self, keyed: KeyedCalls):
+        self._keyed = keyed
+
+    async def on_get(self, request, response) -> None:
+        """Answer with the prefix as plain text."""
+        response.text = self._keyed.home_text
+        response.content_type = falcon.MEDIA_TEXT
+
+
+class StatePage:
+    """Show the node's state to operators."""
+
+    __slots__ = ("_read_state",)
+
+    def __init__(self, read_state: Callable[[], NodeState]):
+        self._read_state = read_state
+
+    async def on_get(self, request, response) -> None:
+        """Answer with the state as JSON."""
+        response.data = render_state(self._read_state())
+        response.content_type = falcon.MEDIA_JSON
+
+
+class CallerRequest(falcon.asgi.Request):
+    """Give the headers with lower-case names."""
+
+    @property
+    def headers_lower(self) -> dict[str, str]:
+        """Return all headers; of a repeated header the last value counts."""
+        return {
+            name.decode("latin-1"): value.decode("latin-1") for name, value in self.scope["headers"]
+        }
+
+
+def create_app(sink: CallSink, keyed: KeyedCalls, read_state: Callable[[], NodeState]):
+    """Return the ASGI application."""
+    app = falcon.asgi.App(request_type=CallerRequest)
+    app.add_route("/_bamboo/home", HomePage(keyed))
+    app.add_route("/_bamboo/state", StatePage(read_state))
+    app.add_sink(sink, prefix="/")
+
+    async def keep_receive(scope, receive, send):
+        # The watcher for a caller's disconnect needs the channel that falcon keeps to itself.
+        scope[RECEIVE_KEY] = receive
+        await app(scope, receive, send)
+
+    return keep_receive
+
+
+async def _cancel_on_disconnect(receive, task: asyncio.Task) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        continue
+    task.cancel()
--- /dev/null
+++ b/bamboojunction/callers/requests.py
@@ -0,0 +1,143 @@
+"""Reading of a caller's request into a call."""
+
+import asyncio
+import secrets
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from bamboojunction.callers import headers as names
+from bamboojunction.core.calls import Call
+from bamboojunction.core.once.keys import ActionKey
+from bamboojunction.core.table.holder import TableHolder
+from bamboojunction.core.table.rows import Effect, Row
+from bamboojunction.node.contexts import RunningCall, RunningCalls
+from bamboojunction.upstreams.client import HOP_HEADERS
+
+ACTION_BYTES = 12
+DEADLINE_MS_MAX = 600_000
+NAME_MAX_CHARACTERS = 100
+
+
+@dataclass(slots=True, frozen=True)
+class BadRequest:
+    """Say which header is wrong and what is expected there."""
+
+    header: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.header}: expected {self.expected}"
+
+
+@dataclass(slots=True, frozen=True)
+class IncomingCall:
+    """Hold a call, its row and, for a child call, the running call that made it."""
+
+    call: Call
+    row: Row
+    parent: RunningCall | None
+
+
+class RequestReader:
+    """Read requests by the table in force and the calls that run here."""
+
+    __slots__ = ("_holder", "_loop", "_running")
+
+    def __init__(self, holder: TableHolder, running: RunningCalls):
+        self._holder = holder
+        self._running = running
+        self._loop = asyncio.get_running_loop()
+
+    def read(
+        self, method: str, path: str, headers: Mapping[str, str], body: bytes
+    ) -> Result[IncomingCall, BadRequest]:
+        """Return the call of a request; ``headers`` has lower-case names."""
+        token = headers.get("bamboo-call", "")
+        if not token:
+            return self._read_edge(method, path, headers, body)
+        parent = self._running.by_token.get(token)
+        if parent is None:
+            return Err(BadRequest(names.CALL, "the token of a call that still runs here"))
+        return self._read_child(parent, method, path, headers, body)
+
+    def _read_edge(self, method, path, headers, body) -> Result[IncomingCall, BadRequest]:
+        kind = headers.get("bamboo-kind", "")
+        row = self._holder.row(kind)
+        service = headers.get("bamboo-service", "") or next(iter(row.services), "")
+        if not service or len(service) > NAME_MAX_CHARACTERS:
+            return Err(BadRequest(names.SERVICE, "the name of the service to call"))
+        deadline_ms = _read_number(headers, "bamboo-deadline-ms", row.deadline_ms)
+        if deadline_ms is None or deadline_ms > DEADLINE_MS_MAX:
+            return Err(BadRequest(names.DEADLINE_MS, f"milliseconds, 0 to {DEADLINE_MS_MAX}"))
+        allowance = _read_number(headers, "bamboo-allowance", row.retries)
+        if allowance is None:
+            return Err(BadRequest(names.ALLOWANCE, "a whole number of retries"))
+        attempt = _read_number(headers, "bamboo-attempt", 0)
+        if attempt is None:
+            return Err(BadRequest(names.ATTEMPT, "a whole number"))
+        call = Call(
+            action=headers.get("bamboo-action", "") or secrets.token_hex(ACTION_BYTES),
+            kind=kind,
+            service=service,
+            deadline=self._loop.time() + deadline_ms / 1000,
+            allowance=min(allowance, row.retries),
+            key=headers.get("bamboo-key", ""),
+            attempt=attempt,
+            method=method,
+            path=path,
+            headers=_passed_on(headers),
+            body=body,
+            traceparent=headers.get("traceparent", ""),
+        )
+        return Ok(IncomingCall(call, row, None))
+
+    def _read_child(self, parent, method, path, headers, body) -> Result[IncomingCall, BadRequest]:
+        service = headers.get("bamboo-service", "")
+        if not service:
+            return Err(BadRequest(names.SERVICE, "the name of the service to call"))
+        kind = headers.get("bamboo-kind", "") or parent.call.kind
+        row = self._holder.row(kind)
+        key = _child_key(parent.call.key, service, headers.get("bamboo-step", ""))
+        if row.effect is Effect.ONCE and not key:
+            return Err(BadRequest(names.STEP, "a label that is unique among the call's steps"))
+        call = Call(
+            action=parent.call.action,
+            kind=kind,
+            service=service,
+            deadline=parent.call.deadline,
+            allowance=parent.pool.lend(),
+            depth=parent.call.depth + 1,
+            key=key,
+            method=method,
+            path=path,
+            headers=_passed_on(headers),
+            body=body,
+            traceparent=headers.get("traceparent", "") or parent.call.traceparent,
+        )
+        return Ok(IncomingCall(call, row, parent))
+
+
+def _child_key(parent_key: str, service: str, step: str) -> str:
+    key = ActionKey.parse(parent_key)
+    if key is None or not step:
+        return ""
+    return str(key.child(f"{service}:{step}"))
+
+
+def _read_number(headers: Mapping[str, str], name: str, default: int) -> int | None:
+    text = headers.get(name)
+    if text is None:
+        return default
+    return int(text) if text.isascii() and text.isdecimal() and len(text) < 10 else None
+
+
+def _passed_on(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, value)
+        for name, value in headers.items()
+        if name not in HOP_HEADERS
+        and not name.startswith(names.OWN_PREFIX)
+        and name != names.TRACEPARENT
+    )
--- /dev/null
+++ b/bamboojunction/callers/server.py
@@ -0,0 +1,57 @@
+"""The uvicorn server of the caller face, run inside the node's own event loop."""
+
+import asyncio
+import contextlib
+import socket
+
+import uvicorn
+
+from bamboojunction.conf.settings import CallerSettings
+
+LISTEN_BACKLOG = 1024
+GRACEFUL_SECONDS = 30
+
+
+class _QuietServer(uvicorn.Server):
+    """Leave the signals to the node process."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Capture nothing."""
+        yield
+
+
+class CallerServer:
+    """Own the listening socket of the caller face."""
+
+    __slots__ = ("_server", "_socket", "_task")
+
+    def __init__(self, app, host: str, port: int, settings: CallerSettings):
+        self._socket = socket.create_server((host, port), backlog=LISTEN_BACKLOG, reuse_port=False)
+        config = uvicorn.Config(
+            app,
+            http="httptools",
+            ws="none",
+            loop="none",
+            lifespan="off",
+            interface="asgi3",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
+            limit_concurrency=settings.connections_max,
+            timeout_graceful_shutdown=GRACEFUL_SECONDS,
+        )
+        self._server = _QuietServer(config)
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start serving."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
+
+    async def close(self) -> None:
+        """Let the answers that are on their way leave, then close."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
--- a/bamboojunction/conf/settings.py
+++ b/bamboojunction/conf/settings.py
@@ -5,7 +5,11 @@
 
 @dataclass(slots=True)
 class NodeSettings:
-    """Say who this node is and where it listens; addresses are ``ip:port``."""
+    """Say who this node is and where it listens; addresses are ``ip:port``.
+
+    ``link_advertised_address`` is where peers reach the link listener when that is another address
+    than ``link_address``, behind an address translation for example.
+    """
 
     instance: str
     service: str
@@ -13,6 +17,7 @@
     region: str
     link_address: str
     caller_address: str
+    link_advertised_address: str = ""
     stop_deadline_seconds: float = 20.0
 
 
--- /dev/null
+++ b/bamboojunction/management/commands/node.py
@@ -0,0 +1,71 @@
+"""The program bamboo-node: the process beside an upstream instance."""
+
+import os
+
+# libuv may use io_uring, which the platform rules out; it reads this before uvloop is imported.
+os.environ["UV_USE_IO_URING"] = "0"
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import uvloop
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from loguru import logger
+
+from bamboojunction.conf.loader import load_settings
+from bamboojunction.conf.settings import Settings
+from bamboojunction.management.application import SingleCommandApplication
+from bamboojunction.node.process import Node
+
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+
+
+async def run_node(settings: Settings) -> None:
+    """Run a node until SIGTERM or SIGINT asks for a graceful stop."""
+    node = Node(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
+    await node.start()
+    await stop.wait()
+    await node.stop()
+
+
+class NodeCommand(Command):
+    """Run the node of one upstream instance."""
+
+    name = "bamboo-node"
+    description = "Run the node of one upstream instance"
+    arguments = [argument("settings", "Path of the INI settings file")]
+    options = [option("check", None, "Check the settings and exit", flag=True)]
+
+    def handle(self) -> int:
+        """Load the settings, then check or run."""
+        loaded = load_settings(Path(self.argument("settings")))
+        if loaded.is_err():
+            self.line_error(loaded.err())
+            return EXIT_BAD_SETTINGS
+        settings = loaded.ok()
+        if self.option("check"):
+            self.line("settings are valid")
+            return EXIT_OK
+        logger.remove()
+        logger.add(
+            sys.stderr, level=settings.telemetry.log_level, format="{time} {level} {message}"
+        )
+        uvloop.run(run_node(settings))
+        return EXIT_OK
+
+
+def main() -> None:
+    """Run the command line."""
+    SingleCommandApplication(NodeCommand()).run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bamboojunction/node/serving.py
@@ -0,0 +1,187 @@
+"""The gate's task side: carries out the admission's decisions for the upstream beside the node."""
+
+import asyncio
+import itertools
+from dataclasses import replace
+
+from bamboojunction.core.admission.gate import (
+    Admission,
+    Decision,
+    Refuse,
+    ServiceEnd,
+    Start,
+    Ticket,
+)
+from bamboojunction.core.calls import Call
+from bamboojunction.core.load import LoadReport
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
+from bamboojunction.core.poison.guard import PoisonGuard, fingerprint_of
+from bamboojunction.core.table.holder import TableHolder
+from bamboojunction.core.table.rows import Row
+from bamboojunction.node.contexts import RunningCall, RunningCalls
+from bamboojunction.nodes.replies import GateReply
+from bamboojunction.upstreams.client import UpstreamClient, UpstreamReply
+
+
+class GateService:
+    """Serve admitted calls at the upstream; the only way to it."""
+
+    __slots__ = (
+        "_admission",
+        "_client",
+        "_fingerprint_by_ticket",
+        "_guard",
+        "_holder",
+        "_ids",
+        "_loop",
+        "_running",
+        "_timer",
+        "_waiting_by_ticket",
+        "on_ban",
+    )
+
+    def __init__(
+        self,
+        admission: Admission,
+        client: UpstreamClient,
+        holder: TableHolder,
+        guard: PoisonGuard,
+        running: RunningCalls,
+    ):
+        self._admission = admission
+        self._client = client
+        self._holder = holder
+        self._guard = guard
+        self._running = running
+        self._ids = itertools.count(1)
+        self._loop = asyncio.get_running_loop()
+        self._waiting_by_ticket: dict[int, asyncio.Future] = {}
+        self._fingerprint_by_ticket: dict[int, int] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self.on_ban = lambda ban: None
+
+    async def serve(self, call: Call) -> GateReply:
+        """Admit a call, run it at the upstream and return its reply."""
+        now = self._loop.time()
+        fingerprint = fingerprint_of(call.kind, call.method, call.path, call.body)
+        if self._guard.is_banned(fingerprint, now):
+            return self._refused(call, NotRun(NotRunReason.POISONED))
+        ticket = self._ticket(call, self._holder.row(call.kind))
+        refusal = await self._wait_for_slot(ticket, now)
+        if refusal is not None:
+            return self._refused(call, refusal)
+        if self._loop.time() >= call.deadline:
+            self._finish(ticket.ticket_id, ServiceEnd.CANCELLED, 0.0)
+            return self._refused(call, NotRun(NotRunReason.DEADLINE))
+        return await self._run(ticket, call, fingerprint)
+
+    def drain(self) -> None:
+        """Hand the queue back and refuse new calls."""
+        self._carry_out(self._admission.drain(self._loop.time()))
+
+    def report(self) -> LoadReport:
+        """Return the gate's load."""
+        return self._admission.report(self._loop.time())
+
+    def _ticket(self, call: Call, row: Row) -> Ticket:
+        return Ticket(
+            ticket_id=next(self._ids),
+            kind=call.kind,
+            rank=row.rank,
+            weight=row.weight,
+            action=call.action,
+            deadline=call.deadline,
+            depth=call.depth,
+            slots_max=row.slots_max,
+        )
+
+    async def _wait_for_slot(self, ticket: Ticket, now: float) -> NotRun | None:
+        future = self._loop.create_future()
+        self._waiting_by_ticket[ticket.ticket_id] = future
+        self._carry_out(self._admission.offer(ticket, now))
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._withdraw(ticket.ticket_id, future)
+            raise
+        finally:
+            self._waiting_by_ticket.pop(ticket.ticket_id, None)
+
+    def _withdraw(self, ticket_id: int, future: asyncio.Future) -> None:
+        """Leave the queue, or free the slot that was granted in the same moment."""
+        now = self._loop.time()
+        granted = future.done() and not future.cancelled() and future.result() is None
+        if granted:
+            self._finish(ticket_id, ServiceEnd.CANCELLED, 0.0)
+        else:
+            self._carry_out(self._admission.cancel(ticket_id, now))
+
+    async def _run(self, ticket: Ticket, call: Call, fingerprint: int) -> GateReply:
+        running = self._running.start(call)
+        self._fingerprint_by_ticket[ticket.ticket_id] = fingerprint
+        end = ServiceEnd.CANCELLED
+        seconds = 0.0
+        try:
+            reply = await self._client.send(call, self._upstream_headers(running))
+            end = reply.end
+            seconds = reply.seconds
+        finally:
+            left = self._running.end(running)
+            self._note_crash(end, ticket.ticket_id)
+            self._finish(ticket.ticket_id, end, seconds)
+        return self._replied(reply, left)
+
+    def _upstream_headers(self, running: RunningCall) -> list[tuple[str, str]]:
+        call = running.call
+        remaining_ms = max(0, int((call.deadline - self._loop.time()) * 1000))
+        headers = list(call.headers)
+        headers.append(("Bamboo-Call", running.token))
+        headers.append(("Bamboo-Kind", call.kind))
+        headers.append(("Bamboo-Action", call.action))
+        headers.append(("Bamboo-Deadline-Ms", str(remaining_ms)))
+        if call.key:
+            headers.append(("Bamboo-Key", call.key))
+        if call.traceparent:
+            headers.append(("traceparent", call.traceparent))
+        return headers
+
+    def _note_crash(self, end: ServiceEnd, ticket_id: int) -> None:
+        fingerprint = self._fingerprint_by_ticket.pop(ticket_id)
+        if end is not ServiceEnd.CRASHED:
+            return
+        for ban in self._guard.crashed([fingerprint], self._loop.time()):
+            self.on_ban(ban)
+
+    def _finish(self, ticket_id: int, end: ServiceEnd, seconds: float) -> None:
+        self._carry_out(self._admission.finish(ticket_id, end, seconds, self._loop.time()))
+
+    def _carry_out(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            future = self._waiting_by_ticket.get(decision.ticket_id)
+            if future is None or future.done():
+                continue
+            match decision:
+                case Start():
+                    future.set_result(None)
+                case Refuse(outcome=outcome):
+                    future.set_result(outcome)
+        self._arm_timer()
+
+    def _arm_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due = self._admission.next_tick(self._loop.time())
+        if due is not None:
+            self._timer = self._loop.call_at(due, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._carry_out(self._admission.tick(self._loop.time()))
+
+    def _refused(self, call: Call, outcome: NotRun) -> GateReply:
+        return GateReply(replace(outcome, allowance_left=call.allowance), self.report())
+
+    def _replied(self, reply: UpstreamReply, left: int) -> GateReply:
+        outcome: Outcome = replace(reply.outcome, allowance_left=left)
+        return GateReply(outcome, self.report(), reply.seconds)
--- /dev/null
+++ b/bamboojunction/nodes/convert.py
@@ -0,0 +1,119 @@
+"""Conversion between link messages and the types of the decisions."""
+
+from bamboojunction.core.calls import Call
+from bamboojunction.core.load import AdmissionLevel, LoadReport
+from bamboojunction.core.outcomes import (
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Ran,
+    Unknown,
+    UnknownReason,
+)
+from bamboojunction.nodes.messages import CallAnswer, CallRequest, Load, Target, Verdict
+from bamboojunction.nodes.replies import GateReply
+
+_NOT_RUN_BY_VALUE = {reason.value: reason for reason in NotRunReason}
+_UNKNOWN_BY_VALUE = {reason.value: reason for reason in UnknownReason}
+
+
+def call_to_request(call: Call, target: Target, request_id: int, now: float) -> CallRequest:
+    """Return the request that carries a call; the deadline travels as the time left."""
+    return CallRequest(
+        request_id,
+        int(target),
+        call.action,
+        call.kind,
+        call.service,
+        call.deadline - now,
+        call.allowance,
+        call.depth,
+        call.key,
+        call.attempt,
+        call.method,
+        call.path,
+        call.headers,
+        call.body,
+        call.traceparent,
+    )
+
+
+def request_to_call(request: CallRequest, received_at: float) -> Call:
+    """Return the call that a request carries, its deadline on the local clock."""
+    return Call(
+        action=request.action,
+        kind=request.kind,
+        service=request.service,
+        deadline=received_at + request.remaining,
+        allowance=request.allowance,
+        depth=request.depth,
+        key=request.key,
+        attempt=request.attempt,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        traceparent=request.traceparent,
+    )
+
+
+def reply_to_answer(request_id: int, reply: GateReply) -> CallAnswer:
+    """Return the answer that carries a gate's reply."""
+    load = _load_to_wire(reply.report)
+    seconds = reply.service_seconds
+    match reply.outcome:
+        case Ran(status, headers, body, left):
+            verdict = int(Verdict.RAN)
+            return CallAnswer(
+                request_id, verdict, status, headers, body, "", 0.0, left, seconds, load
+            )
+        case NotRun(reason, retry_after, left):
+            verdict = int(Verdict.NOT_RUN)
+            return CallAnswer(
+                request_id, verdict, 0, (), b"", reason.value, retry_after, left, seconds, load
+            )
+        case Unknown(reason, left):
+            verdict = int(Verdict.UNKNOWN)
+            return CallAnswer(
+                request_id, verdict, 0, (), b"", reason.value, 0.0, left, seconds, load
+            )
+
+
+def answer_to_reply(answer: CallAnswer) -> GateReply:
+    """Return the reply that an answer carries; an answer that makes no sense is unknown."""
+    return GateReply(
+        _answer_to_outcome(answer), _load_from_wire(answer.load), answer.service_seconds
+    )
+
+
+def _answer_to_outcome(answer: CallAnswer) -> Outcome:
+    left = answer.allowance_left
+    match answer.verdict:
+        case Verdict.RAN:
+            return Ran(answer.status, answer.headers, answer.body, left)
+        case Verdict.NOT_RUN if answer.reason in _NOT_RUN_BY_VALUE:
+            return NotRun(_NOT_RUN_BY_VALUE[answer.reason], answer.retry_after, left)
+        case Verdict.UNKNOWN if answer.reason in _UNKNOWN_BY_VALUE:
+            return Unknown(_UNKNOWN_BY_VALUE[answer.reason], left)
+    return Unknown(UnknownReason.TRUNCATED, left)
+
+
+def _load_to_wire(report: LoadReport | None) -> Load | None:
+    if report is None:
+        return None
+    level = report.level
+    return Load(
+        report.queued,
+        report.in_flight,
+        report.limit,
+        level.rank,
+        level.fraction,
+        report.draining,
+    )
+
+
+def _load_from_wire(load: Load | None) -> LoadReport | None:
+    if load is None:
+        return None
+    level = AdmissionLevel(load.level_rank, load.level_fraction)
+    return LoadReport(load.queued, load.in_flight, load.limit, level, load.draining)
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -52,7 +52,7 @@
     attempt: int
     method: str
     path: str
-    headers: list[tuple[str, str]]
+    headers: tuple[tuple[str, str], ...]
     body: bytes
     traceparent: str
 
@@ -74,7 +74,7 @@
     request_id: int
     verdict: int
     status: int
-    headers: list[tuple[str, str]]
+    headers: tuple[tuple[str, str], ...]
     body: bytes
     reason: str
     retry_after: float
--- /dev/null
+++ b/bamboojunction/nodes/replies.py
@@ -0,0 +1,15 @@
+"""What a gate hands back for a call, in-process and over a link."""
+
+from dataclasses import dataclass
+
+from bamboojunction.core.load import LoadReport
+from bamboojunction.core.outcomes import Outcome
+
+
+@dataclass(slots=True, frozen=True)
+class GateReply:
+    """Carry an outcome, the gate's load and the upstream's execution time in seconds."""
+
+    outcome: Outcome
+    report: LoadReport | None = None
+    service_seconds: float = 0.0
--- /dev/null
+++ b/bamboojunction/nodes/server.py
@@ -0,0 +1,154 @@
+"""Incoming links: authenticates peers and serves their requests."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from bamboojunction.conf.settings import LinkSettings
+from bamboojunction.nodes.codec import decode, encode
+from bamboojunction.nodes.convert import reply_to_answer
+from bamboojunction.nodes.handshake import Identity, is_proof, new_nonce, prove
+from bamboojunction.nodes.links import Handlers
+from bamboojunction.nodes.messages import (
+    AnyMessage,
+    CallRequest,
+    Cancel,
+    Heartbeat,
+    Hello,
+    Seal,
+    SealAnswer,
+)
+from bamboojunction.nodes.replies import GateReply
+
+HANDSHAKE_TIMEOUT_SECONDS = 2.0
+
+CallHandler = Callable[[CallRequest], Awaitable[GateReply]]
+SealHandler = Callable[[Seal], SealAnswer]
+
+
+class IncomingLink:
+    """Serve the messages of one authenticated peer."""
+
+    __slots__ = ("_connection", "_handlers", "_on_call", "_on_seal", "_peer", "_tasks_by_id")
+
+    def __init__(self, connection, peer: str, on_call, on_seal, handlers: Handlers):
+        self._connection: ServerConnection = connection
+        self._peer = peer
+        self._on_call: CallHandler = on_call
+        self._on_seal: SealHandler = on_seal
+        self._handlers = handlers
+        self._tasks_by_id: dict[int, asyncio.Task] = {}
+
+    async def run(self) -> None:
+        """Read messages until the link ends, then withdraw the peer's calls."""
+        try:
+            async for frame in self._connection:
+                message = decode(frame).ok() if isinstance(frame, bytes) else None
+                if message is None:
+                    break
+                await self._take(message)
+        except (WebSocketException, OSError):
+            pass
+        finally:
+            for task in self._tasks_by_id.values():
+                task.cancel()
+
+    async def _take(self, message: AnyMessage) -> None:
+        match message:
+            case CallRequest():
+                self._start(message)
+            case Cancel(request_id=request_id):
+                task = self._tasks_by_id.get(request_id)
+                if task is not None:
+                    task.cancel()
+            case Heartbeat(token=token, echo=False):
+                await self._connection.send(encode(Heartbeat(token, True)))
+            case Seal():
+                await self._connection.send(encode(self._on_seal(message)))
+            case _:
+                self._handlers.dispatch(self._peer, message)
+
+    def _start(self, request: CallRequest) -> None:
+        task = asyncio.create_task(self._serve(request))
+        self._tasks_by_id[request.request_id] = task
+        task.add_done_callback(lambda _: self._tasks_by_id.pop(request.request_id, None))
+
+    async def _serve(self, request: CallRequest) -> None:
+        reply = await self._on_call(request)
+        frame = encode(reply_to_answer(request.request_id, reply))
+        try:
+            await self._connection.send(frame)
+        except (WebSocketException, OSError):
+            # The peer treats the lost link as an unknown outcome.
+            return
+
+
+class LinkServer:
+    """Accept links on the node's link address."""
+
+    __slots__ = ("_handlers", "_identity", "_on_call", "_on_seal", "_server", "_settings")
+
+    def __init__(
+        self,
+        identity: Identity,
+        settings: LinkSettings,
+        on_call: CallHandler,
+        on_seal: SealHandler,
+        handlers: Handlers,
+    ):
+        self._identity = identity
+        self._settings = settings
+        self._on_call = on_call
+        self._on_seal = on_seal
+        self._handlers = handlers
+        self._server: Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on an address."""
+        self._server = await serve(
+            self._accept,
+            host,
+            port,
+            compression=None,
+            ping_interval=None,
+            max_size=self._settings.frame_max_bytes,
+        )
+
+    async def close(self) -> None:
+        """Close the listener and all incoming links."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    async def _accept(self, connection: ServerConnection) -> None:
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_SECONDS):
+                peer = await self._shake_hands(connection)
+        except (WebSocketException, OSError, TimeoutError):
+            return
+        if peer is None:
+            return
+        link = IncomingLink(connection, peer, self._on_call, self._on_seal, self._handlers)
+        await link.run()
+
+    async def _shake_hands(self, connection: ServerConnection) -> str | None:
+        opening = await self._receive_hello(connection)
+        if opening is None:
+            return None
+        secret = self._identity.secret
+        nonce = new_nonce()
+        proof = prove(secret, b"server", opening.nonce, nonce)
+        await connection.send(encode(self._identity.hello(nonce, proof)))
+        closing = await self._receive_hello(connection)
+        if closing is None:
+            return None
+        if not is_proof(closing.proof, secret, b"client", opening.nonce, nonce):
+            return None
+        return closing.instance
+
+    async def _receive_hello(self, connection: ServerConnection) -> Hello | None:
+        frame = await connection.recv()
+        message = decode(frame).ok() if isinstance(frame, bytes) else None
+        return message if isinstance(message, Hello) else None
--- /dev/null
+++ b/bamboojunction/operators/state.py
@@ -0,0 +1,27 @@
+"""The read-only state page of a node."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from bamboojunction.core.load import LoadReport
+from bamboojunction.core.membership.view import Announcement
+
+
+@dataclass(slots=True, frozen=True)
+class NodeState:
+    """Hold what the state page shows."""
+
+    instance: str
+    incarnation: str
+    service: str
+    data_centre: str
+    draining: bool
+    table_version: int
+    load: LoadReport
+    upstreams: list[Announcement]
+
+
+def render_state(state: NodeState) -> bytes:
+    """Return the page as JSON."""
+    return msgspec.json.encode(state)
--- /dev/null
+++ b/bamboojunction/upstreams/client.py
@@ -0,0 +1,124 @@
+"""Sending of admitted calls to the upstream beside the node."""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+
+from bamboojunction.conf.settings import UpstreamSettings
+from bamboojunction.core.admission.gate import ServiceEnd
+from bamboojunction.core.calls import Call
+from bamboojunction.core.outcomes import (
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Ran,
+    Unknown,
+    UnknownReason,
+)
+
+ANSWER_MAX_BYTES = 1_000_000
+OVERLOAD_STATUSES = frozenset({429, 503})
+# Headers that belong to one connection and are not passed on.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "server",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamReply:
+    """Say how the upstream handled a call; ``seconds`` is its execution time."""
+
+    outcome: Outcome
+    end: ServiceEnd
+    seconds: float
+
+
+class UpstreamClient:
+    """Own the HTTP connections to the upstream."""
+
+    __slots__ = ("_base", "_loop", "_session")
+
+    def __init__(self, address: str, connections: int):
+        self._base = f"http://{address}"
+        self._loop = asyncio.get_running_loop()
+        connector = aiohttp.TCPConnector(limit=connections)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None),
+        )
+
+    @classmethod
+    def from_config(cls, upstream_settings: UpstreamSettings) -> "UpstreamClient":
+        """Create the client of the upstream that the settings describe."""
+        return cls(upstream_settings.address, upstream_settings.connections)
+
+    async def send(self, call: Call, headers: list[tuple[str, str]]) -> UpstreamReply:
+        """Send a call once and read the whole answer, at most until the call's deadline."""
+        started = self._loop.time()
+        outcome, end = await self._exchange(call, headers)
+        return UpstreamReply(outcome, end, self._loop.time() - started)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._session.close()
+
+    async def _exchange(
+        self, call: Call, headers: list[tuple[str, str]]
+    ) -> tuple[Outcome, ServiceEnd]:
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                async with self._session.request(
+                    call.method,
+                    self._base + call.path,
+                    headers=headers,
+                    data=call.body or None,
+                    allow_redirects=False,
+                ) as response:
+                    body = await response.content.read(ANSWER_MAX_BYTES + 1)
+                    while len(body) <= ANSWER_MAX_BYTES and not response.content.at_eof():
+                        body += await response.content.read(ANSWER_MAX_BYTES + 1 - len(body))
+        except aiohttp.ClientConnectorError:
+            return NotRun(NotRunReason.UNREACHABLE, retry_after=0.1), ServiceEnd.CRASHED
+        except aiohttp.ClientPayloadError:
+            return Unknown(UnknownReason.TRUNCATED), ServiceEnd.CRASHED
+        except (aiohttp.ClientError, OSError) as error:
+            if isinstance(error, TimeoutError):
+                return Unknown(UnknownReason.DEADLINE), ServiceEnd.FAILED
+            return Unknown(UnknownReason.LOST_UPSTREAM), ServiceEnd.CRASHED
+        if len(body) > ANSWER_MAX_BYTES:
+            return Unknown(UnknownReason.TOO_LARGE), ServiceEnd.FAILED
+        return _read_answer(response, body)
+
+
+def _read_answer(response: aiohttp.ClientResponse, body: bytes) -> tuple[Outcome, ServiceEnd]:
+    if response.headers.get("Bamboo-Outcome") == "not-run":
+        seconds = _retry_after_seconds(response)
+        return NotRun(NotRunReason.SHED, retry_after=seconds), ServiceEnd.OVERLOADED
+    headers = tuple(
+        (name, value) for name, value in response.headers.items() if name.lower() not in HOP_HEADERS
+    )
+    end = ServiceEnd.OVERLOADED if response.status in OVERLOAD_STATUSES else ServiceEnd.SUCCEEDED
+    if response.status >= 500 and end is ServiceEnd.SUCCEEDED:
+        end = ServiceEnd.FAILED
+    return Ran(response.status, headers, body), end
+
+
+def _retry_after_seconds(response: aiohttp.ClientResponse) -> float:
+    text = response.headers.get("Bamboo-Retry-After-Ms", "")
+    return int(text) / 1000 if text.isdecimal() else 0.0
