Added the upstream stand-in and the fault proxy

Real processes need an upstream whose faults and effects can be steered and counted, and a network that can be broken. The upstream writes one ledger line for each effect at the moment it happens; the proxy delays, cuts, half-opens, stalls and drops after N bytes.

--- /dev/null
+++ b/devtools/bamboo_standins/fault_proxy.py
@@ -0,0 +1,228 @@
+"""A TCP proxy that injects faults, as a process or as a class within a test.
+
+Run it as ``python -m bamboo_standins.fault_proxy --help``. ``POST /`` on its control address takes
+the JSON form of `ProxyFaults`; fields that are left out return to their defaults. ``GET /`` gives
+the faults in force.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import signal
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+from aiohttp import web
+
+CHUNK_BYTES = 65_536
+QUEUE_MAX_CHUNKS = 256
+
+
+class Direction(StrEnum):
+    """Name one direction of a connection."""
+
+    TO_SERVER = "to-server"
+    TO_CLIENT = "to-client"
+
+
+class ProxyFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold the faults in force.
+
+    ``cut`` resets every connection and refuses new ones. ``half_open`` swallows what is sent in
+    one direction. ``stall`` holds all bytes back until it is lifted. ``drop_after_bytes`` resets a
+    connection once that many bytes have passed over it in either direction (0: never).
+    """
+
+    delay_seconds: float = 0.0
+    cut: bool = False
+    half_open: Direction | None = None
+    stall: bool = False
+    drop_after_bytes: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class _Connection:
+    client: asyncio.StreamWriter
+    server: asyncio.StreamWriter
+    passed_bytes: int = field(default=0)
+
+    def reset(self) -> None:
+        self.client.transport.abort()
+        self.server.transport.abort()
+
+
+class FaultProxy:
+    """Forward connections from one address to another, with faults; addresses are ``ip:port``."""
+
+    def __init__(self, listen: str, to: str):
+        self._listen = listen
+        self._to = to
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+        self._faults = ProxyFaults()
+        self._flowing = asyncio.Event()
+        self._flowing.set()
+
+    @property
+    def faults(self) -> ProxyFaults:
+        """Return the faults in force."""
+        return self._faults
+
+    async def start(self) -> int:
+        """Listen and return the port."""
+        host, _, port = self._listen.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port), backlog=1024)
+        return self._server.sockets[0].getsockname()[1]
+
+    def set_faults(self, faults: ProxyFaults) -> None:
+        """Replace the faults in force; a cut resets every connection at once."""
+        self._faults = faults
+        if faults.stall:
+            self._flowing.clear()
+        else:
+            self._flowing.set()
+        if faults.cut:
+            self._reset_all()
+
+    async def stop(self) -> None:
+        """Stop listening and reset every connection."""
+        self._server.close()
+        self._flowing.set()
+        self._reset_all()
+
+    def _reset_all(self) -> None:
+        for connection in list(self._connections):
+            connection.reset()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._faults.cut:
+            writer.transport.abort()
+            return
+        host, _, port = self._to.rpartition(":")
+        try:
+            server_reader, server_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        connection = _Connection(writer, server_writer)
+        self._connections.add(connection)
+        try:
+            await asyncio.gather(
+                self._forward(connection, Direction.TO_SERVER, reader, server_writer),
+                self._forward(connection, Direction.TO_CLIENT, server_reader, writer),
+            )
+        except OSError:
+            connection.reset()
+        finally:
+            self._connections.discard(connection)
+            connection.client.close()
+            connection.server.close()
+
+    async def _forward(
+        self,
+        connection: _Connection,
+        direction: Direction,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Pass one direction on; reading and writing overlap, so a delay costs no throughput."""
+        chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(QUEUE_MAX_CHUNKS)
+        sending = asyncio.create_task(self._send(connection, direction, chunks, writer))
+        loop = asyncio.get_running_loop()
+        try:
+            while chunk := await reader.read(CHUNK_BYTES):
+                await chunks.put((loop.time() + self._faults.delay_seconds, chunk))
+            await chunks.put((loop.time() + self._faults.delay_seconds, b""))
+            await sending
+        finally:
+            sending.cancel()
+
+    async def _send(
+        self,
+        connection: _Connection,
+        direction: Direction,
+        chunks: asyncio.Queue[tuple[float, bytes]],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due, chunk = await chunks.get()
+            if (wait_seconds := due - loop.time()) > 0:
+                await asyncio.sleep(wait_seconds)
+            await self._flowing.wait()
+            if self._faults.half_open is direction:
+                continue
+            if not chunk:
+                writer.write_eof()
+                return
+            if self._drops(connection, writer, chunk):
+                return
+            writer.write(chunk)
+            await writer.drain()
+
+    def _drops(self, connection: _Connection, writer: asyncio.StreamWriter, chunk: bytes) -> bool:
+        """Reset the connection when the chunk takes it over the bytes that may pass."""
+        bytes_max = self._faults.drop_after_bytes
+        if not bytes_max:
+            return False
+        left = bytes_max - connection.passed_bytes
+        connection.passed_bytes += len(chunk)
+        if len(chunk) < left:
+            return False
+        writer.write(chunk[: max(left, 0)])
+        connection.reset()
+        return True
+
+
+class ControlServer:
+    """Let another process set the faults over HTTP."""
+
+    def __init__(self, proxy: FaultProxy, address: str):
+        self._proxy = proxy
+        self._address = address
+
+    async def start(self) -> int:
+        """Listen and return the port."""
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(web.Server(self._handle), host, int(port))
+        return server.sockets[0].getsockname()[1]
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        if request.method == "POST":
+            try:
+                faults = msgspec.json.decode(await request.read(), type=ProxyFaults)
+            except msgspec.MsgspecError as error:
+                return web.Response(status=400, text=str(error))
+            self._proxy.set_faults(faults)
+        return web.Response(body=msgspec.json.encode(self._proxy.faults))
+
+
+async def serve(listen: str, to: str, control: str) -> None:
+    """Forward until SIGTERM or SIGINT."""
+    proxy = FaultProxy(listen, to)
+    port = await proxy.start()
+    control_port = await ControlServer(proxy, control).start()
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
+    print(f"listening port={port} control_port={control_port}", flush=True)
+    await stop.wait()
+    await proxy.stop()
+
+
+def main() -> None:
+    """Run the proxy."""
+    parser = argparse.ArgumentParser(prog="bamboo_standins.fault_proxy", description=__doc__)
+    parser.add_argument("--listen", required=True, help="ip:port; port 0 picks one")
+    parser.add_argument("--to", required=True, help="ip:port of the server behind the proxy")
+    parser.add_argument("--control", required=True, help="ip:port; port 0 picks one")
+    arguments = parser.parse_args()
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(serve(arguments.listen, arguments.to, arguments.control))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/devtools/bamboo_standins/upstream.py
@@ -0,0 +1,348 @@
+"""An upstream stand-in: slots, service times, faults, a ledger of effects and onward calls.
+
+Run it as ``python -m bamboo_standins.upstream --help``. ``POST /_faults`` takes the JSON form of
+`Faults`; fields that are left out return to their defaults. ``GET /_load`` and ``GET /_health``
+report on the instance. Every other path echoes the body of the request.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import os
+import signal
+import time
+from collections.abc import Awaitable
+from dataclasses import dataclass, field
+
+os.environ["UV_USE_IO_URING"] = "0"  # libuv reads it when it is loaded, so it is set first.
+
+import aiohttp
+import msgspec
+import uvloop
+from aiohttp import web
+
+CRASH_EXIT_CODE = 70
+COLD_START_FACTOR = 5.0
+DRAIN_SECONDS_MAX = 20.0
+# Calls that may wait for a slot, for each slot, before the instance sheds.
+WAITING_PER_SLOT = 4
+INSTANCE_HEADER = "Upstream-Instance"
+CHAIN_HEADER = "Upstream-Chain"
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold the faults in force.
+
+    ``drop_answer`` and ``truncate_answer`` count the answers still to spoil; -1 spoils all.
+    """
+
+    slow_factor: float = 1.0
+    refuse: bool = False
+    crash_on_body: str = ""
+    hang: bool = False
+    drop_answer: int = 0
+    truncate_answer: int = 0
+    load_report: str = "honest"
+
+
+class LedgerEntry(msgspec.Struct):
+    """Record one effect that truly happened; ``time`` is in seconds of wall time."""
+
+    key: str
+    action: str
+    kind: str
+    instance: str
+    service: str
+    time: float
+
+
+class LoadReport(msgspec.Struct):
+    """Report the load, truly or not."""
+
+    slots: int
+    in_flight: int
+    waiting: int
+
+
+@dataclass(slots=True, frozen=True)
+class OnwardCall:
+    """Name one call that a request makes; an empty kind stands for every kind."""
+
+    service: str
+    step: str
+    kind: str = ""
+
+    @classmethod
+    def parse(cls, text: str) -> "OnwardCall":
+        """Read ``service:step`` or ``kind=service:step``."""
+        kind, _, target = text.rpartition("=")
+        service, _, step = target.partition(":")
+        return cls(service, step or service, kind)
+
+
+@dataclass(slots=True)
+class UpstreamConfig:
+    """Describe one instance; addresses are ``ip:port``, times are in seconds."""
+
+    address: str
+    service: str
+    instance: str
+    node: str = ""
+    slots: int = 16
+    seconds: float = 0.02
+    seconds_by_kind: dict[str, float] = field(default_factory=dict)
+    speed: float = 1.0
+    calls: tuple[OnwardCall, ...] = ()
+    cold_start_seconds: float = 0.0
+    ledger: str = ""
+
+
+class Ledger:
+    """Append effects to a file that several processes may share."""
+
+    __slots__ = ("_descriptor",)
+
+    def __init__(self, path: str):
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._descriptor = os.open(path, flags, 0o644) if path else -1
+
+    def record(self, entry: LedgerEntry) -> None:
+        """Write one line in a single append."""
+        if self._descriptor >= 0:
+            os.write(self._descriptor, msgspec.json.encode(entry) + b"\n")
+
+
+class Upstream:
+    """Serve requests with a bounded number of slots."""
+
+    def __init__(self, config: UpstreamConfig):
+        self.config = config
+        self.faults = Faults()
+        self.draining = False
+        self.in_flight = 0
+        self.waiting = 0
+        self._slots = asyncio.Semaphore(config.slots)
+        self._ledger = Ledger(config.ledger)
+        self._started_at = asyncio.get_running_loop().time()
+        self._session: aiohttp.ClientSession | None = None
+        self._server: asyncio.Server | None = None
+        self._web_server: web.Server | None = None
+
+    async def start(self) -> int:
+        """Listen and return the port."""
+        host, _, port = self.config.address.rpartition(":")
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        )
+        self._web_server = web.Server(
+            self._handle, handler_cancellation=True, access_log=None, keepalive_timeout=3600.0
+        )
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._web_server, host, int(port), reuse_address=True, backlog=1024
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Take no new connection, finish the requests in flight and close."""
+        self.draining = True
+        self._server.close()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + DRAIN_SECONDS_MAX
+        while (self.in_flight or self.waiting) and loop.time() < deadline:
+            await asyncio.sleep(0.01)
+        await self._web_server.shutdown(1.0)
+        await self._session.close()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        path = request.path
+        if path.startswith("/_"):
+            return await self._handle_control(request, path)
+        body = await request.read()
+        crash_text = self.faults.crash_on_body
+        if crash_text and crash_text.encode() in body:
+            os._exit(CRASH_EXIT_CODE)
+        if self.faults.refuse or self.waiting >= self.config.slots * WAITING_PER_SLOT:
+            return self._answer(503, b"shed")
+        deadline_ms = request.headers.get("Bamboo-Deadline-Ms")
+        if deadline_ms is None:
+            return await self._run(request, body)
+        try:
+            return await asyncio.wait_for(self._run(request, body), int(deadline_ms) / 1000)
+        except TimeoutError:
+            return self._answer(504, b"deadline")
+
+    async def _run(self, request: web.BaseRequest, body: bytes) -> web.StreamResponse:
+        self.waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.waiting -= 1
+        self.in_flight += 1
+        try:
+            await self._work(request.headers.get("Bamboo-Kind", ""))
+            chain, failed = await self._call_onward(request, body)
+            if failed is not None:
+                return self._answer(502, failed, chain)
+            self._take_effect(request)
+            return await self._finish(request, body, chain)
+        finally:
+            self.in_flight -= 1
+            self._slots.release()
+
+    async def _work(self, kind: str) -> None:
+        if self.faults.hang:
+            await asyncio.Event().wait()
+        config = self.config
+        seconds = config.seconds_by_kind.get(kind, config.seconds) / config.speed
+        seconds *= self.faults.slow_factor * self._cold_start_factor()
+        if seconds > 0:
+            await asyncio.sleep(seconds)
+
+    def _cold_start_factor(self) -> float:
+        cold_start_seconds = self.config.cold_start_seconds
+        if not cold_start_seconds:
+            return 1.0
+        age = asyncio.get_running_loop().time() - self._started_at
+        coldness = max(0.0, 1.0 - age / cold_start_seconds)
+        return 1.0 + (COLD_START_FACTOR - 1.0) * coldness
+
+    async def _call_onward(self, request: web.BaseRequest, body: bytes) -> tuple[str, bytes | None]:
+        """Make the onward calls in turn; return the chain and the reason of a failure."""
+        chain = self.config.instance
+        kind = request.headers.get("Bamboo-Kind", "")
+        for call in self.config.calls:
+            if call.kind and call.kind != kind:
+                continue
+            headers = {
+                "Bamboo-Call": request.headers.get("Bamboo-Call", ""),
+                "Bamboo-Service": call.service,
+                "Bamboo-Step": call.step,
+            }
+            url = f"http://{self.config.node}{request.path}"
+            try:
+                async with self._session.request(
+                    request.method, url, headers=headers, data=body
+                ) as answer:
+                    await answer.read()
+            except aiohttp.ClientError as error:
+                return chain, f"{call.service} {type(error).__name__}".encode()
+            chain = f"{chain} {answer.headers.get(CHAIN_HEADER, '')}"
+            outcome = answer.headers.get("Bamboo-Outcome", "")
+            if outcome != "ran" or answer.status >= 400:
+                reason = answer.headers.get("Bamboo-Reason", "")
+                return chain, f"{call.service} {outcome} {reason} {answer.status}".encode()
+        return chain, None
+
+    def _take_effect(self, request: web.BaseRequest) -> None:
+        key = request.headers.get("Bamboo-Key")
+        if not key:
+            return
+        entry = LedgerEntry(
+            key=key,
+            action=request.headers.get("Bamboo-Action", ""),
+            kind=request.headers.get("Bamboo-Kind", ""),
+            instance=self.config.instance,
+            service=self.config.service,
+            time=time.time(),
+        )
+        self._ledger.record(entry)
+
+    async def _finish(
+        self, request: web.BaseRequest, body: bytes, chain: str
+    ) -> web.StreamResponse:
+        faults = self.faults
+        if faults.drop_answer:
+            faults.drop_answer -= faults.drop_answer > 0
+            request.transport.abort()
+            return self._answer(500, b"")
+        if faults.truncate_answer:
+            faults.truncate_answer -= faults.truncate_answer > 0
+            return await self._truncate(request, body)
+        return self._answer(200, body, chain)
+
+    async def _truncate(self, request: web.BaseRequest, body: bytes) -> web.StreamResponse:
+        whole = body or b"truncated"
+        answer = web.StreamResponse(headers={INSTANCE_HEADER: self.config.instance})
+        answer.content_length = len(whole)
+        await answer.prepare(request)
+        await answer.write(whole[: len(whole) // 2])
+        request.transport.close()
+        return answer
+
+    def _answer(self, status: int, body: bytes, chain: str = "") -> web.Response:
+        headers = {INSTANCE_HEADER: self.config.instance}
+        if chain:
+            headers[CHAIN_HEADER] = chain
+        return web.Response(status=status, body=body, headers=headers)
+
+    async def _handle_control(self, request: web.BaseRequest, path: str) -> web.StreamResponse:
+        match (request.method, path):
+            case ("GET", "/_health"):
+                return self._answer(503 if self.draining else 200, b"")
+            case ("GET", "/_load"):
+                return self._answer(200, msgspec.json.encode(self._load_report()))
+            case ("POST", "/_faults"):
+                return self._set_faults(await request.read())
+        return self._answer(404, b"")
+
+    def _load_report(self) -> LoadReport:
+        slots = self.config.slots
+        match self.faults.load_report:
+            case "idle":
+                return LoadReport(slots, 0, 0)
+            case "full":
+                return LoadReport(slots, slots, slots)
+        return LoadReport(slots, self.in_flight, self.waiting)
+
+    def _set_faults(self, body: bytes) -> web.Response:
+        try:
+            self.faults = msgspec.json.decode(body, type=Faults, strict=False)
+        except msgspec.MsgspecError as error:
+            return self._answer(400, str(error).encode())
+        return self._answer(200, msgspec.json.encode(self.faults))
+
+
+async def serve(config: UpstreamConfig) -> None:
+    """Serve until SIGTERM or SIGINT, then drain."""
+    upstream = Upstream(config)
+    port = await upstream.start()
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
+    print(f"listening instance={config.instance} port={port}", flush=True)
+    await stop.wait()
+    await upstream.stop()
+
+
+def run(main: Awaitable[None]) -> None:
+    """Run a stand-in on uvloop."""
+    with contextlib.suppress(KeyboardInterrupt):
+        uvloop.run(main)
+
+
+def parse_arguments(arguments: list[str] | None = None) -> UpstreamConfig:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(prog="bamboo_standins.upstream", description=__doc__)
+    parser.add_argument("--address", required=True, help="ip:port to listen on; port 0 picks one")
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--instance", required=True)
+    parser.add_argument("--node", default="", help="ip:port of the node's caller address")
+    parser.add_argument("--slots", type=int, default=16)
+    parser.add_argument("--seconds", type=float, default=0.02, help="service time of every kind")
+    parser.add_argument("--kind-seconds", nargs="*", default=[], metavar="KIND=SECONDS")
+    parser.add_argument("--speed", type=float, default=1.0, help="divides the service times")
+    parser.add_argument("--calls", default="", help="[KIND=]SERVICE:STEP, comma-separated")
+    parser.add_argument("--cold-start-seconds", type=float, default=0.0)
+    parser.add_argument("--ledger", default="", help="file that every effect is appended to")
+    values = vars(parser.parse_args(arguments))
+    pairs = (text.rpartition("=") for text in values.pop("kind_seconds"))
+    seconds_by_kind = {kind: float(seconds) for kind, _, seconds in pairs}
+    texts = (text for text in values.pop("calls").split(",") if text)
+    calls = tuple(OnwardCall.parse(text) for text in texts)
+    return UpstreamConfig(**values, seconds_by_kind=seconds_by_kind, calls=calls)
+
+
+if __name__ == "__main__":
+    run(serve(parse_arguments()))
