--- /dev/null
+++ b/devtools/bamboo_standins/platform.py
@@ -0,0 +1,227 @@
+"""Serve the platform's object API over HTTP, with faults on request.
+
+Run it with ``python -m bamboo_standins.platform --address 127.0.0.1:PORT``.
+"""
+
+import argparse
+import asyncio
+from collections import Counter
+from dataclasses import asdict, dataclass
+
+import msgspec
+from aiohttp import web
+from result import Err, Ok, Result
+
+from bamboo_standins.object_store import ObjectStore
+from bamboojunction.platform.client import PlatformError, PlatformErrorKind
+
+WATCH_WAIT_MAX_SECONDS = 60.0
+STATUS_BY_ERROR = {
+    PlatformErrorKind.CONFLICT: 409,
+    PlatformErrorKind.NOT_FOUND: 404,
+    PlatformErrorKind.COMPACTED: 410,
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class Faults:
+    """Say what goes wrong until the next request to the control endpoint.
+
+    ``down`` resets every connection. ``hang`` leaves calls without an answer. ``delay_seconds``
+    slows each call. ``stale_reads`` answers reads and watches from the state at the time that it
+    was turned on. ``lose_answers`` counts the next writes that take effect and get no answer.
+    ``refuse_status`` answers every call with a status.
+    """
+
+    down: bool = False
+    hang: bool = False
+    delay_seconds: float = 0.0
+    stale_reads: bool = False
+    lose_answers: int = 0
+    refuse_status: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class FaultRequest(Faults):
+    """Describe a request to the control endpoint; ``compact`` and ``skip`` act at once."""
+
+    compact: bool = False
+    skip_revisions: int = 0
+
+
+class PlatformStandIn:
+    """Answer the object API from a store in memory."""
+
+    def __init__(self):
+        self.store = ObjectStore()
+        self.faults = Faults()
+        self.counts: Counter[str] = Counter()
+        self._stale: ObjectStore | None = None
+        self._changed = asyncio.Condition()
+
+    def application(self) -> web.Application:
+        """Return the application that serves the API."""
+        app = web.Application(client_max_size=2_000_000)
+        app.add_routes(
+            [
+                web.get("/objects/{collection}", self._list),
+                web.get("/objects/{collection}/{name}", self._get),
+                web.put("/objects/{collection}/{name}", self._put),
+                web.delete("/objects/{collection}/{name}", self._delete),
+                web.get("/watch/{collection}", self._watch),
+                web.post("/_faults", self._set_faults),
+                web.get("/_counts", self._show_counts),
+            ]
+        )
+        return app
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        wanted = msgspec.convert(await request.json(), FaultRequest)
+        values = asdict(wanted)
+        compact = values.pop("compact")
+        self.store.skip_revisions(values.pop("skip_revisions"))
+        self.faults = Faults(**values)
+        self._stale = self.store.snapshot() if wanted.stale_reads else None
+        if compact:
+            self.store.compact()
+        async with self._changed:
+            self._changed.notify_all()
+        return web.json_response(asdict(self.faults))
+
+    async def _show_counts(self, request: web.Request) -> web.Response:
+        return web.json_response(dict(self.counts))
+
+    async def _list(self, request: web.Request) -> web.Response:
+        await self._fail_if_asked(request, "reads")
+        return _answer(self._readable().list(request.match_info["collection"]))
+
+    async def _get(self, request: web.Request) -> web.Response:
+        await self._fail_if_asked(request, "reads")
+        found = self._readable().get(request.match_info["collection"], request.match_info["name"])
+        return _answer_result(found)
+
+    async def _put(self, request: web.Request) -> web.Response:
+        await self._fail_if_asked(request, "writes")
+        written = self.store.put(
+            request.match_info["collection"],
+            request.match_info["name"],
+            await request.json(),
+            int(request.query["if_version"]),
+        )
+        await self._wake_watches()
+        self._lose_if_asked(request)
+        return _answer_result(written)
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        await self._fail_if_asked(request, "writes")
+        deleted = self.store.delete(
+            request.match_info["collection"],
+            request.match_info["name"],
+            int(request.query["if_version"]),
+        )
+        await self._wake_watches()
+        self._lose_if_asked(request)
+        return _answer_result(deleted)
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        await self._fail_if_asked(request, "watches")
+        collection = request.match_info["collection"]
+        since = int(request.query["since"])
+        wait = min(float(request.query.get("wait", "0")), WATCH_WAIT_MAX_SECONDS)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait
+        while True:
+            batch = self._readable().changed_since(collection, since)
+            news = batch.is_err() or batch.ok().changed or batch.ok().deleted
+            if news or loop.time() >= end:
+                break
+            await self._wait_for_change(end - loop.time())
+        if self.faults.down:
+            self._drop(request)
+        return _answer_result(batch)
+
+    async def _wait_for_change(self, seconds: float) -> None:
+        async with self._changed:
+            try:
+                async with asyncio.timeout(seconds):
+                    await self._changed.wait()
+            except TimeoutError:
+                return
+
+    async def _wake_watches(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _fail_if_asked(self, request: web.Request, counter: str) -> None:
+        self.counts[counter] += 1
+        if self.faults.down:
+            self._drop(request)
+        if self.faults.hang:
+            await asyncio.Event().wait()
+        if self.faults.delay_seconds:
+            await asyncio.sleep(self.faults.delay_seconds)
+        if self.faults.refuse_status:
+            raise _Refused(self.faults.refuse_status)
+
+    def _lose_if_asked(self, request: web.Request) -> None:
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            self._drop(request)
+
+    def _drop(self, request: web.Request) -> None:
+        if request.transport is not None:
+            request.transport.abort()
+        raise _Dropped
+
+    def _readable(self) -> ObjectStore:
+        return self._stale or self.store
+
+
+class _Dropped(web.HTTPException):
+    """End the handling of a request whose connection is already closed."""
+
+    status_code = 500
+
+
+class _Refused(web.HTTPException):
+    """Answer with any status."""
+
+    def __init__(self, status: int):
+        self.status_code = status
+        super().__init__()
+
+
+def _answer_result(result: Result) -> web.Response:
+    match result:
+        case Ok(value):
+            return _answer(value)
+        case Err(error):
+            return _error(error)
+
+
+def _answer(value) -> web.Response:
+    return web.Response(body=msgspec.json.encode(value), content_type="application/json")
+
+
+def _error(error: PlatformError) -> web.Response:
+    return web.Response(status=STATUS_BY_ERROR[error.kind], text=error.detail)
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", default="127.0.0.1:8500", help="ip:port to listen on")
+    host, _, port = parser.parse_args().address.rpartition(":")
+    asyncio.run(_serve(host, int(port)))
+
+
+async def _serve(host: str, port: int) -> None:
+    runner = web.AppRunner(PlatformStandIn().application(), access_log=None, shutdown_timeout=0.5)
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    print(f"platform listens on {host}:{port}", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/platform_store/test_http_client.py
@@ -0,0 +1,93 @@
+"""The HTTP client turns every fault of the store into a value that says what may have happened."""
+
+import unittest
+
+import aiohttp
+from aiohttp import web
+from bamboo_standins.platform import Faults, PlatformStandIn
+
+from bamboojunction.platform.client import PlatformErrorKind
+from bamboojunction.platform.http import HttpPlatformClient
+
+
+class HttpClientTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.platform = PlatformStandIn()
+        runner = web.AppRunner(self.platform.application(), shutdown_timeout=0.1)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+        self.client = HttpPlatformClient([self.address], timeout_seconds=5.0)
+        self.addAsyncCleanup(self.client.close)
+
+    async def test_write_read_list_delete(self):
+        written = (await self.client.put("tables", "a b", {"x": 1}, 0)).ok()
+        self.assertEqual((await self.client.get("tables", "a b")).ok(), written)
+        self.assertEqual((await self.client.list("tables")).ok().objects, [written])
+        self.assertTrue((await self.client.delete("tables", "a b", written.version)).is_ok())
+        gone = await self.client.get("tables", "a b")
+        self.assertIs(gone.err().kind, PlatformErrorKind.NOT_FOUND)
+
+    async def test_second_write_on_one_version_is_a_conflict(self):
+        await self.client.put("tables", "t", {"x": 1}, 0)
+        second = await self.client.put("tables", "t", {"x": 2}, 0)
+        self.assertIs(second.err().kind, PlatformErrorKind.CONFLICT)
+        self.assertEqual((await self.client.get("tables", "t")).ok().value, {"x": 1})
+
+    async def test_lost_answer_is_told_apart_from_refused_write(self):
+        self.platform.faults = Faults(lose_answers=1)
+        lost = await self.client.put("tables", "t", {"x": 1}, 0)
+        self.assertIs(lost.err().kind, PlatformErrorKind.LOST_ANSWER)
+        self.assertEqual((await self.client.get("tables", "t")).ok().value, {"x": 1})
+        self.platform.faults = Faults(refuse_status=503)
+        refused = await self.client.put("tables", "u", {"x": 1}, 0)
+        self.assertIs(refused.err().kind, PlatformErrorKind.UNAVAILABLE)
+
+    async def test_gateway_error_on_a_write_may_have_taken_effect(self):
+        self.platform.faults = Faults(refuse_status=502)
+        failed = await self.client.put("tables", "t", {"x": 1}, 0)
+        self.assertIs(failed.err().kind, PlatformErrorKind.LOST_ANSWER)
+
+    async def test_resets_and_hangs_of_reads_are_unavailable(self):
+        impatient = HttpPlatformClient([self.address], timeout_seconds=0.05)
+        self.addAsyncCleanup(impatient.close)
+        for faults in (Faults(down=True), Faults(hang=True), Faults(refuse_status=503)):
+            with self.subTest(faults=faults):
+                self.platform.faults = faults
+                failed = await impatient.get("tables", "t")
+                self.assertIs(failed.err().kind, PlatformErrorKind.UNAVAILABLE)
+
+    async def test_watch_returns_changes_after_a_revision_only(self):
+        first = (await self.client.put("tables", "t", {"x": 1}, 0)).ok()
+        quiet = (await self.client.watch("tables", first.version, 0.01)).ok()
+        self.assertEqual((quiet.changed, quiet.deleted), ([], []))
+        second = (await self.client.put("tables", "t", {"x": 2}, first.version)).ok()
+        batch = (await self.client.watch("tables", first.version, 10)).ok()
+        self.assertEqual(batch.changed, [second])
+
+    async def test_watch_from_before_compaction_is_told_so(self):
+        await self.client.put("tables", "t", {"x": 1}, 0)
+        async with aiohttp.ClientSession() as session:
+            await session.post(f"http://{self.address}/_faults", json={"compact": True})
+        late = await self.client.watch("tables", 0, 1)
+        self.assertIs(late.err().kind, PlatformErrorKind.COMPACTED)
+
+    async def test_failure_moves_on_to_the_next_address(self):
+        client = HttpPlatformClient(["127.0.0.1:1", self.address], timeout_seconds=5.0)
+        self.addAsyncCleanup(client.close)
+        self.assertTrue((await client.list("tables")).is_err())
+        self.assertTrue((await client.list("tables")).is_ok())
+
+    async def test_every_call_is_counted(self):
+        await self.client.list("tables")
+        await self.client.put("tables", "t", {}, 0)
+        await self.client.watch("tables", 0, 0)
+        self.assertEqual(self.platform.counts, {"reads": 1, "writes": 1, "watches": 1})
+
+    def test_names_are_refused_as_addresses(self):
+        for address in ("platform.example:80", "127.0.0.1", "127.0.0.1:x"):
+            with self.subTest(address=address), self.assertRaises(ValueError):
+                HttpPlatformClient([address], 1.0)
