--- a/bamboojunction/callers/app.py
+++ b/bamboojunction/callers/app.py
@@ -63,6 +63,9 @@
             incoming.parent.children.add(task)
         try:
             return await self._route(incoming)
+        except asyncio.CancelledError:
+            # Nobody reads the answer; the caller went away or its parent call ended.
+            return NotRun(NotRunReason.CANCELLED)
         finally:
             watcher.cancel()
             if incoming.parent is not None:
--- a/bamboojunction/management/application.py
+++ b/bamboojunction/management/application.py
@@ -1,7 +1,10 @@
 """The command-line application of a program that has one command."""
 
+import sys
+
 from cleo.application import Application
 from cleo.commands.command import Command
+from cleo.io.inputs.argv_input import ArgvInput
 
 from bamboojunction import __version__
 
@@ -11,7 +14,10 @@
 
     def __init__(self, command: Command):
         super().__init__(command.name, __version__)
+        self._only_command_name = command.name
         self.add(command)
-        # Cleo has no public setter for a default command.
-        self._default_command = command.name
-        self._single_command = True
+
+    def run_arguments(self) -> int:
+        """Run the command with the arguments of the process."""
+        program, *arguments = sys.argv
+        return self.run(ArgvInput([program, self._only_command_name, *arguments]))
--- a/bamboojunction/management/commands/node.py
+++ b/bamboojunction/management/commands/node.py
@@ -64,7 +64,7 @@
 
 def main() -> None:
     """Run the command line."""
-    SingleCommandApplication(NodeCommand()).run()
+    SingleCommandApplication(NodeCommand()).run_arguments()
 
 
 if __name__ == "__main__":
--- a/bamboojunction/node/sync.py
+++ b/bamboojunction/node/sync.py
@@ -67,10 +67,11 @@
         await self._announce()
 
     async def close(self) -> None:
-        """End the tasks."""
+        """End the tasks and close the platform client."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._client.close()
 
     async def _announce(self) -> None:
         name = self._announcement.instance
--- a/bamboojunction/upstreams/client.py
+++ b/bamboojunction/upstreams/client.py
@@ -110,9 +110,10 @@
     if response.headers.get("Bamboo-Outcome") == "not-run":
         seconds = _retry_after_seconds(response)
         return NotRun(NotRunReason.SHED, retry_after=seconds), ServiceEnd.OVERLOADED
-    headers = tuple(
-        (name, value) for name, value in response.headers.items() if name.lower() not in HOP_HEADERS
+    pairs = (
+        (name.decode("latin-1"), value.decode("latin-1")) for name, value in response.raw_headers
     )
+    headers = tuple((name, value) for name, value in pairs if name.lower() not in HOP_HEADERS)
     end = ServiceEnd.OVERLOADED if response.status in OVERLOAD_STATUSES else ServiceEnd.SUCCEEDED
     if response.status >= 500 and end is ServiceEnd.SUCCEEDED:
         end = ServiceEnd.FAILED
--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -10,7 +10,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -71,7 +71,7 @@
     """Hold one answer as a caller sees it."""
 
     status: int
-    headers: dict[str, str]
+    headers: Mapping[str, str]
     body: bytes
 
     @property
@@ -227,7 +227,7 @@
         sent |= {_header(key): str(value) for key, value in headers.items()}
         url = f"http://{self.by_instance[name].caller_address}/work"
         async with self._session.request(method, url, data=body, headers=sent) as response:
-            return Answer(response.status, dict(response.headers), await response.read())
+            return Answer(response.status, response.headers, await response.read())
 
     async def home(self, name: str) -> str:
         """Return a node's current home prefix for keys."""
