--- a/bamboojunction/core/table/rows.py
+++ b/bamboojunction/core/table/rows.py
@@ -18,7 +18,8 @@
     A lower ``rank`` is more urgent. ``weight`` sets the share of contended slots that the kind's
     rank keeps. ``retries`` is the allowance minted for a whole action. ``slots_max`` limits how
     many calls of the kind one upstream runs at once (0: no limit). ``services`` lists the services
-    that the kind is known to reach, the entry service first.
+    that the kind is known to reach, the entry service first. ``extra`` keeps the cells of columns
+    that this release does not know.
     """
 
     kind: str
@@ -29,6 +30,7 @@
     retries: int = 0
     slots_max: int = 0
     services: tuple[str, ...] = ()
+    extra: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
