--- a/bamboojunction/upstreams/client.py
+++ b/bamboojunction/upstreams/client.py
@@ -1,6 +1,7 @@
 """Sending of admitted calls to the upstream beside the node."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 
 import aiohttp
@@ -50,11 +51,10 @@
 class UpstreamClient:
     """Own the HTTP connections to the upstream."""
 
-    __slots__ = ("_base", "_loop", "_session")
+    __slots__ = ("_base", "_session")
 
     def __init__(self, address: str, connections: int):
         self._base = f"http://{address}"
-        self._loop = asyncio.get_running_loop()
         connector = aiohttp.TCPConnector(limit=connections)
         self._session = aiohttp.ClientSession(
             connector=connector,
@@ -70,9 +70,10 @@
 
     async def send(self, call: Call, headers: list[tuple[str, str]]) -> UpstreamReply:
         """Send a call once and read the whole answer, at most until the call's deadline."""
-        started = self._loop.time()
+        # The event loop's clock may have a resolution of only a millisecond.
+        started = time.monotonic()
         outcome, end = await self._exchange(call, headers)
-        return UpstreamReply(outcome, end, self._loop.time() - started)
+        return UpstreamReply(outcome, end, time.monotonic() - started)
 
     async def close(self) -> None:
         """Close the connections."""
--- /dev/null
+++ b/devtools/bamboo_bench/path/chains.py
@@ -0,0 +1,110 @@
+"""Two chains of the same upstreams: one calls through the layer, the other directly."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from bamboo_standins.fleet import Fleet, InstancePlan, free_port
+
+KIND = "bench-read"
+FRONT = "front-1"
+DIRECT_HOST = "127.0.0.1"
+SLOTS = 64
+CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(slots=True, frozen=True)
+class ProcessorTime:
+    """Hold the processor seconds that a node spent."""
+
+    user: float
+    system: float
+
+    @classmethod
+    def of_process(cls, process_id: int) -> "ProcessorTime":
+        """Read the time of a process from the kernel."""
+        fields = Path(f"/proc/{process_id}/stat").read_text().rpartition(")")[2].split()
+        user, system = int(fields[11]), int(fields[12])
+        return cls(user / CLOCK_TICKS_PER_SECOND, system / CLOCK_TICKS_PER_SECOND)
+
+    @property
+    def total(self) -> float:
+        """Return both parts in seconds."""
+        return self.user + self.system
+
+
+def resident_bytes(process_id: int) -> int:
+    """Return the resident memory of a process."""
+    pages = int(Path(f"/proc/{process_id}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+class Chains:
+    """Own the processes of both chains, ``hops`` services deep."""
+
+    def __init__(self, directory: Path, hops: int, extra_settings: str = ""):
+        self.hops = hops
+        services = [f"service-{number}" for number in range(1, hops + 1)]
+        plans = [InstancePlan(FRONT, "front", "north")]
+        plans += [
+            InstancePlan(f"{service}-1", service, "north", slots=SLOTS, seconds=0.0, calls=calls)
+            for service, calls in zip(services, self._calls(services), strict=True)
+        ]
+        table = (
+            "kind,rank,weight,effect,deadline_ms,retries,slots_max,services\n"
+            f"{KIND},1,10,idempotent,5000,0,0,{' '.join(services)}\n"
+        )
+        self.fleet = Fleet(directory, plans, table, extra_settings, proxied=False)
+        self._services = services
+        self.direct_address = ""
+
+    async def start(self) -> None:
+        """Start all processes of both chains."""
+        await self.fleet.start()
+        await self._start_direct()
+
+    async def stop(self) -> None:
+        """End all processes."""
+        await self.fleet.stop()
+
+    @property
+    def layered_address(self) -> str:
+        """Return the caller address of the node that calls enter at."""
+        return self.fleet.by_instance[FRONT].caller_address
+
+    @property
+    def entry_service(self) -> str:
+        """Return the first service of the chain."""
+        return self._services[0]
+
+    def processor_times(self) -> dict[str, ProcessorTime]:
+        """Return what each node has spent so far, by instance."""
+        return {
+            name: ProcessorTime.of_process(running.node.pid)
+            for name, running in self.fleet.by_instance.items()
+        }
+
+    def resident(self) -> dict[str, int]:
+        """Return the resident bytes of each node, by instance."""
+        return {
+            name: resident_bytes(running.node.pid)
+            for name, running in self.fleet.by_instance.items()
+        }
+
+    @staticmethod
+    def _calls(services: list[str]) -> list[str]:
+        return [f"{service}:next" for service in services[1:]] + [""]
+
+    async def _start_direct(self) -> None:
+        next_address = ""
+        for service in reversed(self._services):
+            address = f"{DIRECT_HOST}:{free_port(DIRECT_HOST)}"
+            arguments = [
+                *("--address", address, "--service", service, "--instance", f"{service}-direct"),
+                *("--node", next_address, "--slots", str(SLOTS), "--seconds", "0", "--direct"),
+                *("--calls", "next:next" if next_address else ""),
+            ]
+            await self.fleet.spawn_extra(f"{service}-direct", "bamboo_standins.upstream", arguments)
+            await self.fleet.wait_http(f"http://{address}/_health")
+            next_address = address
+        self.direct_address = next_address
--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -87,16 +87,21 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """Own the processes of a whole example; ``directory`` takes settings, logs and the ledger."""
+    """Own the processes of a whole example; ``directory`` takes settings, logs and the ledger.
+
+    With ``proxied``, nodes reach each other through a fault proxy in this process.
+    """
 
     directory: Path
     plans: list[InstancePlan]
     table_text: str
     extra_settings: str = ""
+    proxied: bool = True
     by_instance: dict[str, RunningInstance] = field(default_factory=dict)
     platform_port: int = 0
     _platform: asyncio.subprocess.Process | None = None
     _session: aiohttp.ClientSession | None = None
+    _extra: list[asyncio.subprocess.Process] = field(default_factory=list)
 
     async def start(self) -> None:
         """Start everything and wait until each node sees every service and the table."""
@@ -112,7 +117,7 @@
 
     async def stop(self) -> None:
         """End every process that was started."""
-        processes = [self._platform]
+        processes = [self._platform, *self._extra]
         for running in self.by_instance.values():
             processes += [running.node, running.upstream]
             await running.proxy.stop()
@@ -134,10 +139,10 @@
     async def start_platform(self) -> None:
         """Start the platform stand-in, empty."""
         address = f"127.0.0.1:{self.platform_port}"
-        self._platform = await self._spawn(
+        self._platform = await self.spawn(
             "platform", "bamboo_standins.platform", ["--address", address]
         )
-        await self._wait_http(f"http://{address}/_counts")
+        await self.wait_http(f"http://{address}/_counts")
 
     async def platform_faults(self, **faults) -> None:
         """Set the faults of the platform stand-in."""
@@ -169,10 +174,10 @@
             *("--calls", plan.calls),
             *("--ledger", str(self.ledger_path)),
         ]
-        running.upstream = await self._spawn(
+        running.upstream = await self.spawn(
             f"{name}-upstream", "bamboo_standins.upstream", arguments
         )
-        await self._wait_http(f"http://{running.upstream_address}/_health")
+        await self.wait_http(f"http://{running.upstream_address}/_health")
 
     async def upstream_faults(self, name: str, **faults) -> None:
         """Set the faults of an upstream stand-in."""
@@ -185,7 +190,7 @@
         running = self.by_instance[name]
         path = self.directory / f"{name}.ini"
         path.write_text(self._settings_text(running))
-        running.node = await self._spawn(
+        running.node = await self.spawn(
             f"{name}-node", "bamboojunction.management.commands.node", [str(path)]
         )
 
@@ -266,13 +271,14 @@
 
     def _settings_text(self, running: RunningInstance) -> str:
         plan = running.plan
+        link_port = running.proxy_port if self.proxied else running.link_port
         return f"""[node]
 instance = {plan.instance}
 service = {plan.service}
 data_centre = {plan.data_centre}
 region = {plan.region}
 link_address = {running.host}:{running.link_port}
-link_advertised_address = {running.host}:{running.proxy_port}
+link_advertised_address = {running.host}:{link_port}
 caller_address = {running.caller_address}
 
 [upstream]
@@ -288,7 +294,12 @@
 secret = {LINK_SECRET}
 {self.extra_settings}"""
 
-    async def _spawn(self, log_name: str, module: str, arguments: list[str]):
+    async def spawn_extra(self, log_name: str, module: str, arguments: list[str]) -> None:
+        """Start one more process, which ends with the fleet."""
+        self._extra.append(await self.spawn(log_name, module, arguments))
+
+    async def spawn(self, log_name: str, module: str, arguments: list[str]):
+        """Start a Python module as a process whose output goes to a log file."""
         with (self.directory / f"{log_name}.log").open("ab") as log:
             return await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", module, *arguments),
@@ -297,7 +308,8 @@
                 env={**os.environ, "UV_USE_IO_URING": "0"},
             )
 
-    async def _wait_http(self, url: str) -> None:
+    async def wait_http(self, url: str) -> None:
+        """Wait until a URL answers."""
         async with asyncio.timeout(READY_SECONDS):
             while True:
                 try:
--- a/devtools/bamboo_standins/upstream.py
+++ b/devtools/bamboo_standins/upstream.py
@@ -95,6 +95,7 @@
     calls: tuple[OnwardCall, ...] = ()
     cold_start_seconds: float = 0.0
     ledger: str = ""
+    direct: bool = False
 
 
 class Ledger:
@@ -123,6 +124,7 @@
         self.waiting = 0
         self._slots = asyncio.Semaphore(config.slots)
         self._ledger = Ledger(config.ledger)
+        self._default_outcome = "ran" if config.direct else ""
         self._started_at = asyncio.get_running_loop().time()
         self._session: aiohttp.ClientSession | None = None
         self._server: asyncio.Server | None = None
@@ -228,7 +230,7 @@
             except aiohttp.ClientError as error:
                 return chain, f"{call.service} {type(error).__name__}".encode()
             chain = f"{chain} {answer.headers.get(CHAIN_HEADER, '')}"
-            outcome = answer.headers.get("Bamboo-Outcome", "")
+            outcome = answer.headers.get("Bamboo-Outcome", self._default_outcome)
             if outcome != "ran" or answer.status >= 400:
                 reason = answer.headers.get("Bamboo-Reason", "")
                 return chain, f"{call.service} {outcome} {reason} {answer.status}".encode()
@@ -336,6 +338,7 @@
     parser.add_argument("--calls", default="", help="[KIND=]SERVICE:STEP, comma-separated")
     parser.add_argument("--cold-start-seconds", type=float, default=0.0)
     parser.add_argument("--ledger", default="", help="file that every effect is appended to")
+    parser.add_argument("--direct", action="store_true", help="--node is the next upstream itself")
     values = vars(parser.parse_args(arguments))
     pairs = (text.rpartition("=") for text in values.pop("kind_seconds"))
     seconds_by_kind = {kind: float(seconds) for kind, _, seconds in pairs}
