--- a/devtools/bamboo_standins/fault_proxy.py
+++ b/devtools/bamboo_standins/fault_proxy.py
@@ -9,6 +9,8 @@
 import asyncio
 import contextlib
 import signal
+import socket
+import struct
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -17,6 +19,8 @@
 
 CHUNK_BYTES = 65_536
 QUEUE_MAX_CHUNKS = 256
+# Closing a socket that lingers for 0 seconds sends a reset in place of an orderly end.
+LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 class Direction(StrEnum):
@@ -48,8 +52,15 @@
     passed_bytes: int = field(default=0)
 
     def reset(self) -> None:
-        self.client.transport.abort()
-        self.server.transport.abort()
+        _reset(self.client)
+        _reset(self.server)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connected = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+    writer.transport.abort()
 
 
 class FaultProxy:
@@ -60,6 +71,7 @@
         self._to = to
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
+        self._tasks: set[asyncio.Task] = set()
         self._faults = ProxyFaults()
         self._flowing = asyncio.Event()
         self._flowing.set()
@@ -90,6 +102,7 @@
         self._server.close()
         self._flowing.set()
         self._reset_all()
+        await asyncio.gather(*self._tasks)
 
     def _reset_all(self) -> None:
         for connection in list(self._connections):
@@ -97,16 +110,17 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self._faults.cut:
-            writer.transport.abort()
+            _reset(writer)
             return
         host, _, port = self._to.rpartition(":")
         try:
             server_reader, server_writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         connection = _Connection(writer, server_writer)
         self._connections.add(connection)
+        self._tasks.add(asyncio.current_task())
         try:
             await asyncio.gather(
                 self._forward(connection, Direction.TO_SERVER, reader, server_writer),
@@ -116,6 +130,7 @@
             connection.reset()
         finally:
             self._connections.discard(connection)
+            self._tasks.discard(asyncio.current_task())
             connection.client.close()
             connection.server.close()
 
@@ -152,6 +167,8 @@
                 await asyncio.sleep(wait_seconds)
             await self._flowing.wait()
             if self._faults.half_open is direction:
+                if not chunk:
+                    return
                 continue
             if not chunk:
                 writer.write_eof()
--- a/devtools/bamboo_standins/upstream.py
+++ b/devtools/bamboo_standins/upstream.py
@@ -151,6 +151,7 @@
         deadline = loop.time() + DRAIN_SECONDS_MAX
         while (self.in_flight or self.waiting) and loop.time() < deadline:
             await asyncio.sleep(0.01)
+        self._web_server.pre_shutdown()
         await self._web_server.shutdown(1.0)
         await self._session.close()
 
@@ -168,7 +169,8 @@
         if deadline_ms is None:
             return await self._run(request, body)
         try:
-            return await asyncio.wait_for(self._run(request, body), int(deadline_ms) / 1000)
+            async with asyncio.timeout(int(deadline_ms) / 1000):
+                return await self._run(request, body)
         except TimeoutError:
             return self._answer(504, b"deadline")
 
