--- a/devtools/bamboo_standins/fault_proxy.py
+++ b/devtools/bamboo_standins/fault_proxy.py
@@ -45,10 +45,30 @@
     drop_after_bytes: int = 0
 
 
+class _Scope:
+    """Hold the faults of the connections that come from one range of addresses."""
+
+    __slots__ = ("faults", "flowing")
+
+    def __init__(self):
+        self.faults = ProxyFaults()
+        self.flowing = asyncio.Event()
+        self.flowing.set()
+
+    def set_faults(self, faults: ProxyFaults) -> None:
+        """Replace the faults and hold or release the bytes that wait."""
+        self.faults = faults
+        if faults.stall:
+            self.flowing.clear()
+        else:
+            self.flowing.set()
+
+
 @dataclass(slots=True, eq=False)
 class _Connection:
     client: asyncio.StreamWriter
     server: asyncio.StreamWriter
+    source: str
     passed_bytes: int = field(default=0)
 
     def reset(self) -> None:
@@ -72,14 +92,12 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task] = set()
-        self._faults = ProxyFaults()
-        self._flowing = asyncio.Event()
-        self._flowing.set()
+        self._scopes_by_prefix = {"": _Scope()}
 
     @property
     def faults(self) -> ProxyFaults:
-        """Return the faults in force."""
-        return self._faults
+        """Return the faults in force for every source."""
+        return self._scopes_by_prefix[""].faults
 
     async def start(self) -> int:
         """Listen and return the port."""
@@ -87,29 +105,46 @@
         self._server = await asyncio.start_server(self._accept, host, int(port), backlog=1024)
         return self._server.sockets[0].getsockname()[1]
 
-    def set_faults(self, faults: ProxyFaults) -> None:
-        """Replace the faults in force; a cut resets every connection at once."""
-        self._faults = faults
-        if faults.stall:
-            self._flowing.clear()
-        else:
-            self._flowing.set()
+    def set_faults(self, faults: ProxyFaults, source_prefix: str = "") -> None:
+        """Replace the faults in force; a cut resets every connection at once.
+
+        With a prefix of source addresses, the faults are those of connections from there only and
+        go before the faults of every source.
+        """
+        scope = self._scopes_by_prefix.setdefault(source_prefix, _Scope())
+        scope.set_faults(faults)
         if faults.cut:
-            self._reset_all()
+            self._reset_all(scope)
+
+    def clear_faults(self) -> None:
+        """Take back the faults of every source."""
+        for scope in self._scopes_by_prefix.values():
+            scope.set_faults(ProxyFaults())
+        prefixes = [prefix for prefix in self._scopes_by_prefix if prefix]
+        for prefix in prefixes:
+            del self._scopes_by_prefix[prefix]
+
+    def _scope(self, source: str) -> _Scope:
+        """Return the scope of the longest prefix that a source matches."""
+        matching = (prefix for prefix in self._scopes_by_prefix if source.startswith(prefix))
+        return self._scopes_by_prefix[max(matching, key=len)]
 
     async def stop(self) -> None:
         """Stop listening and reset every connection."""
         self._server.close()
-        self._flowing.set()
-        self._reset_all()
+        self.clear_faults()
+        for connection in list(self._connections):
+            connection.reset()
         await asyncio.gather(*self._tasks)
 
-    def _reset_all(self) -> None:
+    def _reset_all(self, scope: _Scope) -> None:
         for connection in list(self._connections):
-            connection.reset()
+            if self._scope(connection.source) is scope:
+                connection.reset()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._faults.cut:
+        source = writer.get_extra_info("peername")[0]
+        if self._scope(source).faults.cut:
             _reset(writer)
             return
         host, _, port = self._to.rpartition(":")
@@ -118,7 +153,7 @@
         except OSError:
             _reset(writer)
             return
-        connection = _Connection(writer, server_writer)
+        connection = _Connection(writer, server_writer, source)
         self._connections.add(connection)
         self._tasks.add(asyncio.current_task())
         try:
@@ -147,8 +182,10 @@
         loop = asyncio.get_running_loop()
         try:
             while chunk := await reader.read(CHUNK_BYTES):
-                await chunks.put((loop.time() + self._faults.delay_seconds, chunk))
-            await chunks.put((loop.time() + self._faults.delay_seconds, b""))
+                delay_seconds = self._scope(connection.source).faults.delay_seconds
+                await chunks.put((loop.time() + delay_seconds, chunk))
+            delay_seconds = self._scope(connection.source).faults.delay_seconds
+            await chunks.put((loop.time() + delay_seconds, b""))
             await sending
         finally:
             sending.cancel()
@@ -165,8 +202,8 @@
             due, chunk = await chunks.get()
             if (wait_seconds := due - loop.time()) > 0:
                 await asyncio.sleep(wait_seconds)
-            await self._flowing.wait()
-            if self._faults.half_open is direction:
+            await self._scope(connection.source).flowing.wait()
+            if self._scope(connection.source).faults.half_open is direction:
                 if not chunk:
                     return
                 continue
@@ -180,7 +217,7 @@
 
     def _drops(self, connection: _Connection, writer: asyncio.StreamWriter, chunk: bytes) -> bool:
         """Reset the connection when the chunk takes it over the bytes that may pass."""
-        bytes_max = self._faults.drop_after_bytes
+        bytes_max = self._scope(connection.source).faults.drop_after_bytes
         if not bytes_max:
             return False
         left = bytes_max - connection.passed_bytes
--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -16,7 +16,7 @@
 
 import aiohttp
 
-from bamboo_standins.fault_proxy import FaultProxy
+from bamboo_standins.fault_proxy import FaultProxy, ProxyFaults
 
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
@@ -240,6 +240,19 @@
         async with self._session.get(url) as response:
             return await response.text()
 
+    def cut_data_centre(self, data_centre: str) -> None:
+        """Cut the links between a data centre and all others, both ways."""
+        for target in self.by_instance.values():
+            for source in self.by_instance.values():
+                inside = {target.plan.data_centre, source.plan.data_centre}
+                if len(inside) == 2 and data_centre in inside:
+                    target.proxy.set_faults(ProxyFaults(cut=True), source.host)
+
+    def heal(self) -> None:
+        """Take back every fault of the links."""
+        for running in self.by_instance.values():
+            running.proxy.clear_faults()
+
     def signal_node(self, name: str, signal_number: int) -> None:
         """Send a signal to a node's process."""
         self.by_instance[name].node.send_signal(signal_number)
