--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -253,6 +253,31 @@
         for running in self.by_instance.values():
             running.proxy.clear_faults()
 
+    async def restore(self) -> None:
+        """Take back every fault, restart what died and wait until every node sees all others."""
+        self.heal()
+        await self.platform_faults()
+        for name, running in self.by_instance.items():
+            if running.upstream.returncode is not None:
+                await self.start_upstream(name)
+            await self.upstream_faults(name)
+            if running.node.returncode is not None:
+                await self.start_node(name)
+            else:
+                self.signal_node(name, signal.SIGCONT)
+        await asyncio.gather(*(self.wait_whole(name) for name in self.by_instance))
+
+    async def wait_whole(self, name: str) -> None:
+        """Wait until a node sees every instance serving."""
+
+        def is_whole(state: dict) -> bool:
+            serving = {
+                entry["instance"] for entry in state["upstreams"] if entry["state"] == "serving"
+            }
+            return state["table_version"] > 0 and serving == set(self.by_instance)
+
+        await self.wait_state(name, is_whole)
+
     def signal_node(self, name: str, signal_number: int) -> None:
         """Send a signal to a node's process."""
         self.by_instance[name].node.send_signal(signal_number)
