Added the at-most-once protocol and a search over its interleavings

The home serialises attempts with serials of its own, a gate takes each serial once (a sliding replay window as in IPsec), an unknown attempt can be settled later by asking its gate, and a key of a lost home is refused only when every gate of a set fixed beforehand has sealed it. Memory is bounded: a full home or gate refuses, and stands by it.

--- a/bamboojunction/core/outcomes.py
+++ b/bamboojunction/core/outcomes.py
@@ -34,6 +34,7 @@
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
     WINDOW = "window-closed"
+    STALE_ATTEMPT = "stale-attempt"
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/devtools/bamboo_bench/once/prove.py
@@ -0,0 +1,66 @@
+"""The long search: every scenario with its full budgets, then random walks from printed seeds."""
+
+import argparse
+import random
+import sys
+import time
+
+from bamboo_bench.once.scenarios import Scenario, breaks, scenarios
+from bamboo_bench.once.search import search, walk
+from bamboo_bench.once.world import Violation
+
+STEPS_PER_WALK = 60
+STATES_PER_MINUTE = 30_000
+
+
+def main() -> int:
+    """Run the searches for about the given minutes and return 1 when a property broke."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--minutes", type=float, default=6.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    half_seconds = options.minutes * 30 / len(scenarios())
+    failures = [_missed_break(scenario) for scenario in breaks()]
+    failures += [_search(scenario, options.minutes) for scenario in scenarios()]
+    failures += [_walks(scenario, options.seed, half_seconds) for scenario in scenarios()]
+    return int(any(failures))
+
+
+def _missed_break(scenario: Scenario) -> bool:
+    result = search(scenario.build(), STATES_PER_MINUTE)
+    print(f"break={scenario.name!r} states={result.states} found={result.violation!r}", flush=True)
+    return not result.violation
+
+
+def _search(scenario: Scenario, minutes: float) -> bool:
+    states_max = int(minutes * STATES_PER_MINUTE / 2 / len(scenarios()))
+    result = search(scenario.build(), states_max)
+    print(
+        f"scenario={scenario.name!r} states={result.states} steps={result.steps} "
+        f"complete={result.complete} violation={result.violation!r}",
+        flush=True,
+    )
+    for step in result.trace:
+        print(f"  {step}")
+    return bool(result.violation)
+
+
+def _walks(scenario: Scenario, seed: int, seconds: float) -> bool:
+    generator = random.Random(f"{seed} {scenario.name}")
+    ends_at = time.monotonic() + seconds
+    walks = 0
+    while time.monotonic() < ends_at:
+        choices = [generator.randrange(2**16) for _ in range(STEPS_PER_WALK)]
+        walks += 1
+        try:
+            walk(scenario.build(), choices)
+        except Violation as violation:
+            print(f"scenario={scenario.name!r} seed={seed} walk={walks} violation={violation}")
+            print(f"  choices={choices}")
+            return True
+    print(f"scenario={scenario.name!r} seed={seed} walks={walks} violation=''", flush=True)
+    return False
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/devtools/bamboo_bench/once/scenarios.py
@@ -0,0 +1,173 @@
+"""The worlds that are searched, and the seeded breaks that the search must find."""
+
+from dataclasses import dataclass, field, replace
+
+from bamboo_bench.once.world import Budget, Copy, GateState, HomeState, World
+from bamboojunction.core.once.gate_records import GateRecords, Knowledge, Testimony
+from bamboojunction.core.once.home import Home, KeyState
+from bamboojunction.core.once.keys import ActionKey, HomeId
+from bamboojunction.core.once.replay import ReplayWindow
+from bamboojunction.core.outcomes import NotRun
+
+BOTH = frozenset({"a/1", "b/1"})
+ALL = frozenset({"a/1", "b/1", "c/1"})
+INCOMPLETE = frozenset({"a/1", "c/1"})
+SMALL_BUDGET = Budget(losses=1, timeouts=0, suspicions=1, duplicates=0, retries=1)
+
+
+class NoReplayWindow(ReplayWindow):
+    """Break: let every late copy of an attempt through."""
+
+    __slots__ = ()
+
+    def accept(self, serial: int) -> bool:
+        """Accept anything."""
+        return True
+
+
+class GateWithoutTombstones(GateRecords):
+    """Break: keep nothing of a refused attempt."""
+
+    __slots__ = ()
+
+    def _records_of(self, key, now):
+        records = super()._records_of(key, now)
+        records.replay = NoReplayWindow()
+        return records
+
+
+class ForgetfulGate(GateRecords):
+    """Break: forget a key that ran without remembering that something was forgotten."""
+
+    __slots__ = ()
+
+    def ended(self, key, attempt, outcome, now):
+        """Forget the record as soon as the call ended."""
+        super().ended(key, attempt, outcome, now)
+        self._by_home[key.home.incarnation].by_key.pop(key, None)
+
+
+class GateThatLiesAboutSeals(GateRecords):
+    """Break: say that a key is sealed without keeping the seal."""
+
+    __slots__ = ()
+
+    def seal(self, key, now):
+        """Answer like a gate that sealed."""
+        records = self._records_of(key, now)
+        known = records.by_key.get(key)
+        return self._tell(known) if known else Testimony(Knowledge.SEALED)
+
+
+class EagerHome(Home):
+    """Break: start the next attempt while one is under way."""
+
+    __slots__ = ()
+
+    def begin(self, key, now, caller_attempt=0):
+        """Treat a running key as settled."""
+        record = self._record(key)
+        if record is not None and record.state is KeyState.RUNNING:
+            record.state = KeyState.NOT_RUN
+        return super().begin(key, now, caller_attempt)
+
+
+class OptimisticHome(Home):
+    """Break: take an attempt whose end is unknown for one that did not run."""
+
+    __slots__ = ()
+
+    def begin(self, key, now, caller_attempt=0):
+        """Start again after an unknown end."""
+        record = self._record(key)
+        if record is not None and record.state is KeyState.UNKNOWN:
+            record.state = KeyState.NOT_RUN
+        return super().begin(key, now, caller_attempt)
+
+
+class ForgetfulHome(Home):
+    """Break: forget the keys that ran, as a cache that makes room would."""
+
+    __slots__ = ()
+
+    def settle(self, key, attempt, outcome, now):
+        """Forget the record as soon as the attempt ended."""
+        super().settle(key, attempt, outcome, now)
+        window = self._windows.find(key.home.window)
+        if window is not None and not isinstance(outcome, NotRun):
+            window.by_key.pop(key.nonce, None)
+
+
+@dataclass(slots=True, frozen=True)
+class Scenario:
+    """Describe a world to search."""
+
+    name: str
+    gates: frozenset[str] = BOTH
+    window_gates: frozenset[str] | None = BOTH
+    bound: frozenset[str] | None = BOTH
+    copies: tuple[tuple[str, str, int], ...] = (("h1", "h1", 0), ("h1", "h2", 0))
+    budget: Budget = field(default_factory=Budget)
+    gate_class: type = GateRecords
+    home_class: type = Home
+
+    def build(self) -> World:
+        """Create the world."""
+        homes = {name: self._home(name) for name in sorted({home for home, _, _ in self.copies})}
+        gates = {
+            gate_id.split("/")[0]: GateState(gate_id, self.gate_class())
+            for gate_id in sorted(self.gates)
+        }
+        copies = [
+            Copy(ActionKey(HomeId(home, f"{home}-1", 1), "k"), node, number)
+            for home, node, number in self.copies
+        ]
+        return World(homes, gates, copies, self.bound, BOTH, replace(self.budget), self.gate_class)
+
+    def _home(self, name: str) -> HomeState:
+        home = self.home_class(name, f"{name}-1")
+        home.use_gates(self.window_gates, 1.0)
+        return HomeState(home)
+
+
+def scenarios() -> list[Scenario]:
+    """Return the worlds of the sound protocol."""
+    return [
+        Scenario("two copies, two gates"),
+        Scenario("numbered copies", copies=(("h1", "h1", 1), ("h1", "h2", 1), ("h1", "h1", 2))),
+        Scenario("three gates", gates=ALL, window_gates=ALL, bound=ALL),
+        Scenario("gate outside the window", gates=ALL),
+        Scenario("gate unknown to the sealer", gates=ALL, window_gates=None, bound=None),
+        Scenario("two homes", copies=(("h1", "h1", 0), ("h1", "h2", 0), ("h2", "h1", 0))),
+    ]
+
+
+def small(scenario: Scenario) -> Scenario:
+    """Return a scenario with budgets small enough for a complete search in a test."""
+    return replace(scenario, budget=SMALL_BUDGET)
+
+
+def breaks() -> list[Scenario]:
+    """Return worlds with a seeded fault, each of which the search must find.
+
+    Their budgets hold no more faults than the break needs, which keeps the search short.
+    """
+    return [
+        Scenario(
+            "tombstone skipped", gate_class=GateWithoutTombstones, budget=Budget(0, 0, 0, 1, 1)
+        ),
+        Scenario("n+1 before n settled", home_class=EagerHome, budget=Budget(0, 0, 0, 0, 0)),
+        Scenario(
+            "unknown taken for not run", home_class=OptimisticHome, budget=Budget(0, 1, 0, 0, 0)
+        ),
+        Scenario(
+            "incomplete set sealed",
+            gates=ALL,
+            window_gates=ALL,
+            bound=INCOMPLETE,
+            budget=Budget(1, 0, 0, 0, 0),
+        ),
+        Scenario("gate forgets", gate_class=ForgetfulGate, budget=Budget(1, 0, 0, 0, 0)),
+        Scenario("seal not kept", gate_class=GateThatLiesAboutSeals, budget=Budget(0, 0, 1, 0, 0)),
+        Scenario("home forgets", home_class=ForgetfulHome, budget=Budget(0, 0, 0, 0, 0)),
+    ]
--- /dev/null
+++ b/tests/once/test_gate_records.py
@@ -0,0 +1,117 @@
+"""A gate takes each attempt at most once, and forgets without lying."""
+
+import unittest
+
+from bamboojunction.core.once.gate_records import (
+    RECORD_SECONDS,
+    Admit,
+    GateRecords,
+    Knowledge,
+    Replay,
+)
+from bamboojunction.core.once.keys import ActionKey
+from bamboojunction.core.once.replay import REPLAY_WINDOW, ReplayWindow
+from bamboojunction.core.once.sealing import Sealing
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Ran, Unknown, UnknownReason
+
+KEY = ActionKey.parse("bay-1/abc/1/k")
+STALE = Replay(Unknown(UnknownReason.STALE_ATTEMPT))
+
+
+class GateRecordsTests(unittest.TestCase):
+    def setUp(self):
+        self.records = GateRecords()
+
+    def test_refused_attempt_never_runs_and_the_next_one_may(self):
+        self.assertEqual(self.records.admit(KEY, 1, 0.0), Admit())
+        self.records.refused(KEY, 1)
+        self.assertEqual(self.records.admit(KEY, 1, 0.0), STALE)
+        self.assertEqual(self.records.admit(KEY, 2, 0.0), Admit())
+
+    def test_copy_of_a_call_that_ran_gets_its_answer(self):
+        self.records.admit(KEY, 1, 0.0)
+        self.assertEqual(self.records.admit(KEY, 1, 0.0), STALE)
+        self.records.ended(KEY, 1, Ran(200, body=b"x"), 0.0)
+        for attempt in (1, 2):
+            self.assertEqual(self.records.admit(KEY, attempt, 0.0), Replay(Ran(200, body=b"x")))
+
+    def test_asking_about_an_attempt_not_met_yet_refuses_it_for_good(self):
+        self.assertIs(self.records.ask(KEY, 1, 0.0).knowledge, Knowledge.SEALED)
+        self.assertEqual(self.records.admit(KEY, 1, 0.0), STALE)
+        self.assertEqual(self.records.admit(KEY, 2, 0.0), Admit())
+
+    def test_asking_tells_how_an_attempt_ended(self):
+        self.records.admit(KEY, 1, 0.0)
+        self.assertIs(self.records.ask(KEY, 1, 0.0).knowledge, Knowledge.RUNNING)
+        self.records.ended(KEY, 1, Ran(201), 0.0)
+        self.assertEqual(self.records.ask(KEY, 1, 0.0).outcome, Ran(201))
+
+    def test_sealed_key_is_refused_whatever_its_attempt(self):
+        self.assertIs(self.records.seal(KEY, 0.0).knowledge, Knowledge.SEALED)
+        refusal = Replay(NotRun(NotRunReason.SETTLED))
+        self.assertEqual(self.records.admit(KEY, 1, 0.0), refusal)
+        self.assertEqual(self.records.admit(KEY, 2, 0.0), refusal)
+
+    def test_forgotten_key_is_never_sealed_or_run(self):
+        self.records.admit(KEY, 1, 0.0)
+        self.records.ended(KEY, 1, Ran(200), 0.0)
+        other = ActionKey.parse("bay-1/abc/2/k")
+        self.records.admit(other, 2, RECORD_SECONDS)
+        self.assertIs(self.records.seal(KEY, RECORD_SECONDS).knowledge, Knowledge.FORGOTTEN)
+        self.assertIs(self.records.ask(KEY, 1, RECORD_SECONDS).knowledge, Knowledge.FORGOTTEN)
+        window = Replay(Unknown(UnknownReason.WINDOW))
+        self.assertEqual(self.records.admit(KEY, 3, RECORD_SECONDS), window)
+
+    def test_running_call_is_never_forgotten(self):
+        self.records.admit(KEY, 1, 0.0)
+        self.records.admit(ActionKey.parse("bay-1/abc/9/k"), 2, 9 * RECORD_SECONDS)
+        self.assertIs(self.records.seal(KEY, 9 * RECORD_SECONDS).knowledge, Knowledge.RUNNING)
+
+    def test_full_gate_refuses_and_stands_by_it(self):
+        records = GateRecords(bytes_max=1_000)
+        records.admit(KEY, 1, 0.0)
+        other = ActionKey.parse("bay-1/abc/1/other")
+        self.assertEqual(records.admit(other, 2, 0.0), Replay(NotRun(NotRunReason.FULL)))
+        self.assertIs(records.seal(other, 0.0).knowledge, Knowledge.FORGOTTEN)
+        records.refused(KEY, 1)
+        self.assertEqual(records.admit(other, 2, 0.0), STALE)
+
+
+class ReplayWindowTests(unittest.TestCase):
+    def test_each_serial_is_new_once_in_any_order(self):
+        replay = ReplayWindow()
+        serials = [5, 3, 9, 4, 9 + REPLAY_WINDOW - 1]
+        self.assertTrue(all(replay.accept(serial) for serial in serials))
+        self.assertFalse(any(replay.accept(serial) for serial in serials))
+
+    def test_serial_below_the_window_counts_as_met(self):
+        replay = ReplayWindow()
+        replay.accept(REPLAY_WINDOW * 3)
+        self.assertTrue(replay.has_met(REPLAY_WINDOW * 2))
+        self.assertFalse(replay.has_met(REPLAY_WINDOW * 2 + 1))
+
+
+class SealingTests(unittest.TestCase):
+    def setUp(self):
+        self.records = GateRecords()
+        self.sealed = self.records.seal(KEY, 0.0)
+
+    def test_not_run_needs_every_gate_of_the_bound(self):
+        sealing = Sealing(KEY, frozenset({"a/1", "b/1"}), frozenset({"a/1"}))
+        sealing.heard("a/1", self.sealed)
+        self.assertIsNone(sealing.outcome())
+        sealing.heard("b/1", self.sealed)
+        self.assertEqual(sealing.outcome(), NotRun(NotRunReason.SETTLED))
+
+    def test_one_missing_gate_makes_it_unknown(self):
+        sealing = Sealing(KEY, frozenset({"a/1", "b/1"}), frozenset())
+        sealing.heard("a/1", self.sealed)
+        sealing.unreachable("b/1")
+        self.assertEqual(sealing.outcome(), Unknown(UnknownReason.LOST_HOME))
+
+    def test_without_a_bound_only_an_end_is_told(self):
+        sealing = Sealing(KEY, None, frozenset({"a/1", "b/1"}))
+        sealing.heard("a/1", self.sealed)
+        self.records.admit(ActionKey.parse("bay-1/abc/1/ran"), 1, 0.0)
+        sealing.heard("b/1", self.sealed)
+        self.assertEqual(sealing.outcome(), Unknown(UnknownReason.LOST_HOME))
--- /dev/null
+++ b/tests/once/test_home.py
@@ -0,0 +1,97 @@
+"""The home starts an attempt only when every earlier one is settled as not run."""
+
+import unittest
+
+from bamboojunction.core.once.home import Answered, Home, JoinAttempt, StartAttempt
+from bamboojunction.core.once.keys import ActionKey
+from bamboojunction.core.once.windows import WINDOW_SECONDS, WINDOWS_OPEN
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Ran, Unknown, UnknownReason
+
+SHED = NotRun(NotRunReason.SHED)
+LOST = Unknown(UnknownReason.LOST_LINK)
+
+
+class HomeTests(unittest.TestCase):
+    def setUp(self):
+        self.home = Home("bay-1", "abc")
+        self.key = ActionKey(self.home.current(0.0), "k")
+
+    def test_copy_joins_the_attempt_under_way(self):
+        self.home.begin(self.key, 0.0)
+        self.assertEqual(self.home.begin(self.key, 0.0), JoinAttempt())
+
+    def test_late_copy_gets_the_recorded_answer(self):
+        attempt = self.home.begin(self.key, 0.0).attempt
+        self.home.settle(self.key, attempt, Ran(200, body=b"held"), 1.0)
+        self.assertEqual(self.home.begin(self.key, 2.0), Answered(Ran(200, body=b"held")))
+
+    def test_key_runs_again_after_a_refusal_and_not_after_an_unknown_end(self):
+        first = self.home.begin(self.key, 0.0).attempt
+        self.home.settle(self.key, first, SHED, 0.0)
+        second = self.home.begin(self.key, 0.0)
+        self.assertGreater(second.attempt, first)
+        self.home.settle(self.key, second.attempt, LOST, 0.0)
+        self.assertEqual(self.home.begin(self.key, 0.0), Answered(LOST))
+
+    def test_delayed_copy_of_a_numbered_attempt_starts_nothing(self):
+        attempt = self.home.begin(self.key, 0.0, caller_attempt=1).attempt
+        self.home.begin(self.key, 0.0, caller_attempt=2)
+        self.home.settle(self.key, attempt, SHED, 0.0)
+        for number in (1, 2):
+            self.assertEqual(self.home.begin(self.key, 0.0, number), Answered(SHED))
+        self.assertIsInstance(self.home.begin(self.key, 0.0, 3), StartAttempt)
+
+    def test_end_of_an_earlier_attempt_changes_nothing(self):
+        first = self.home.begin(self.key, 0.0).attempt
+        second = self.home.resend(self.key, first, SHED, 0.0).attempt
+        self.home.settle(self.key, first, SHED, 0.0)
+        self.assertEqual(self.home.begin(self.key, 0.0), JoinAttempt())
+        self.home.settle(self.key, second, Ran(200), 0.0)
+        self.home.settle(self.key, second, SHED, 0.0)
+        self.assertEqual(self.home.begin(self.key, 0.0), Answered(Ran(200)))
+
+    def test_unknown_end_is_replaced_by_what_its_gate_tells_later(self):
+        attempt = self.home.begin(self.key, 0.0).attempt
+        self.home.sent(self.key, attempt, "pay-1/x")
+        self.home.settle(self.key, attempt, LOST, 0.0)
+        doubt = self.home.doubt(self.key)
+        self.assertEqual((doubt.attempt, doubt.gate), (attempt, "pay-1/x"))
+        self.home.settle(self.key, attempt, SHED, 0.0)
+        self.assertIsInstance(self.home.begin(self.key, 0.0), StartAttempt)
+
+    def test_closed_window_is_unknown_and_future_window_is_invalid(self):
+        closed_at = WINDOW_SECONDS * WINDOWS_OPEN
+        self.home.current(WINDOW_SECONDS)
+        self.home.current(closed_at)
+        outcome = self.home.begin(self.key, closed_at).outcome
+        self.assertEqual(outcome, Unknown(UnknownReason.WINDOW))
+        future = ActionKey.parse("bay-1/abc/99/k")
+        outcome = self.home.begin(future, closed_at).outcome
+        self.assertEqual(outcome.reason, NotRunReason.KEY_INVALID)
+
+    def test_key_of_another_incarnation_is_unknown(self):
+        other = ActionKey.parse("bay-1/abd/1/k")
+        self.assertEqual(self.home.begin(other, 0.0), Answered(Unknown(UnknownReason.LOST_HOME)))
+
+    def test_full_home_refuses_new_keys_of_the_window_for_good(self):
+        home = Home("bay-1", "abc", bytes_max=2_500)
+        keys = [ActionKey(home.current(0.0), f"k{number}") for number in range(4)]
+        decisions = [home.begin(key, 0.0) for key in keys]
+        kinds = [type(decision) for decision in decisions]
+        self.assertEqual(kinds, [StartAttempt, StartAttempt, Answered, Answered])
+        self.assertEqual(decisions[2].outcome.reason, NotRunReason.FULL)
+        self.assertEqual(home.begin(keys[0], 0.0), JoinAttempt())
+
+    def test_closing_a_window_frees_its_memory(self):
+        self.home.begin(self.key, 0.0)
+        self.assertGreater(self.home.bytes_held, 0)
+        self.home.current(WINDOW_SECONDS)
+        self.home.current(WINDOW_SECONDS * (WINDOWS_OPEN + 1))
+        self.assertEqual(self.home.bytes_held, 0)
+
+    def test_gates_of_a_window_never_change(self):
+        self.home.use_gates(frozenset({"a/1"}), 0.0)
+        self.assertIsNone(self.home.begin(self.key, 0.0).gates)
+        key = ActionKey(self.home.current(6.0), "k")
+        self.home.use_gates(frozenset({"b/1"}), 7.0)
+        self.assertEqual(self.home.begin(key, 7.0).gates, frozenset({"a/1"}))
--- /dev/null
+++ b/tests/once/test_search.py
@@ -0,0 +1,45 @@
+"""No interleaving of the protocol breaks its promise, and every seeded break is found."""
+
+import unittest
+
+from bamboo_bench.once.scenarios import breaks, scenarios, small
+from bamboo_bench.once.search import search, walk
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+STATES_MAX = 1_500
+BREAK_STATES_MAX = 5_000
+CHOICES = st.lists(st.integers(0, 2**16), min_size=10, max_size=60)
+
+
+class SearchTests(unittest.TestCase):
+    def test_no_interleaving_runs_twice_or_refuses_falsely(self):
+        for scenario in scenarios():
+            with self.subTest(scenario=scenario.name):
+                result = search(small(scenario).build(), STATES_MAX)
+                print(f"{scenario.name}: {result.states} states, {result.steps} steps")
+                self.assertEqual(result.violation, "", result.trace)
+
+    def test_search_reaches_every_kind_of_outcome(self):
+        result = search(small(scenarios()[0]).build(), 4 * STATES_MAX)
+        for outcome in ("Ran", "NotRun", "Unknown"):
+            for teller in ("home", "gates"):
+                self.assertIn(f"{outcome} told by {teller}", result.outcomes)
+
+    def test_sealing_never_refuses_when_the_gates_are_not_bounded(self):
+        scenario = next(entry for entry in scenarios() if entry.bound is None)
+        result = search(small(scenario).build(), STATES_MAX)
+        self.assertIn("Unknown told by gates", result.outcomes)
+        self.assertNotIn("NotRun told by gates", result.outcomes)
+
+    def test_every_seeded_break_is_found(self):
+        for scenario in breaks():
+            with self.subTest(broken=scenario.name):
+                result = search(scenario.build(), BREAK_STATES_MAX)
+                print(f"{scenario.name}: found after {result.states} states")
+                self.assertTrue(result.violation)
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(index=st.integers(0, len(scenarios()) - 1), choices=CHOICES)
+    def test_long_walks_with_full_budgets_keep_the_promise(self, index, choices):
+        walk(scenarios()[index].build(), choices)
