Added the driver of keyed calls: numbered sends, gate records, and questions to gates

Each sending of a key now carries its own serial and names the one gate incarnation that may run it. The gate checks its records before admission and finishes a started attempt when its link is lost. An unreachable home no longer makes a copy of a key 'not run': the gates of the service are asked whether it ran. A draining node still answers for the keys that it knows.

--- a/bamboojunction/callers/app.py
+++ b/bamboojunction/callers/app.py
@@ -73,10 +73,11 @@
 
     async def _route(self, incoming: IncomingCall) -> Outcome:
         call = incoming.call
-        if self.is_draining and incoming.parent is None:
-            return NotRun(NotRunReason.DRAINING, allowance_left=call.allowance)
         if incoming.row.effect is Effect.ONCE:
+            # An earlier copy of the key may have run, which only its home can tell.
             outcome = await self._keyed.route(call, incoming.row)
+        elif self.is_draining and incoming.parent is None:
+            return NotRun(NotRunReason.DRAINING, allowance_left=call.allowance)
         else:
             outcome = await self._router.route(call, incoming.row)
         if incoming.parent is not None:
--- a/bamboojunction/core/calls.py
+++ b/bamboojunction/core/calls.py
@@ -9,7 +9,8 @@
 
     ``deadline`` is in seconds on the local monotonic clock. ``allowance`` counts the retries that
     this call and everything below it may still spend. ``key`` is the text of an action key, or
-    empty; ``attempt`` numbers the attempts of a keyed call and is set by its home.
+    empty; ``attempt`` numbers the attempts of a keyed call and is set by its home, as is ``gate``,
+    the only gate incarnation that may run the attempt.
     """
 
     action: str
@@ -25,3 +26,4 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     traceparent: str = ""
+    gate: str = ""
--- a/bamboojunction/core/once/home.py
+++ b/bamboojunction/core/once/home.py
@@ -76,10 +76,19 @@
     Only this object starts attempts of its keys, and it starts one only when every earlier attempt
     of the key is settled as not run. It never forgets a key of an open window: when its memory is
     full it refuses the new keys of a window from then on, which is true of them because an
-    unrecorded key of an open window was never started.
+    unrecorded key of an open window was never started. While ``is_draining`` it starts only the
+    steps of actions that are under way, and still answers for the keys that it knows.
     """
 
-    __slots__ = ("_bytes_held", "_bytes_max", "_gates", "_serial", "_windows", "home_id")
+    __slots__ = (
+        "_bytes_held",
+        "_bytes_max",
+        "_gates",
+        "_serial",
+        "_windows",
+        "home_id",
+        "is_draining",
+    )
 
     def __init__(
         self,
@@ -94,6 +103,7 @@
         self._bytes_held = 0
         self._serial = 0
         self._gates: frozenset[str] | None = None
+        self.is_draining = False
 
     def use_gates(self, gates: frozenset[str] | None, now: float) -> None:
         """Set the gate incarnations that the windows opened from now on may use."""
@@ -133,7 +143,8 @@
                 return JoinAttempt()
             case KeyState.RAN | KeyState.UNKNOWN:
                 return Answered(record.outcome)
-        if 0 < caller_attempt <= record.caller_attempt:
+        is_refused = self.is_draining and not key.is_child
+        if is_refused or 0 < caller_attempt <= record.caller_attempt:
             return Answered(record.outcome)
         record.caller_attempt = max(record.caller_attempt, caller_attempt)
         return self._start(window, record)
@@ -194,6 +205,8 @@
         return window.by_key.get(key.nonce)
 
     def _first_attempt(self, window: Window, key: ActionKey, caller_attempt: int) -> HomeDecision:
+        if self.is_draining and not key.is_child:
+            return Answered(NotRun(NotRunReason.DRAINING))
         size = record_bytes(key, None)
         window.is_full |= self._bytes_held + size > self._bytes_max
         if window.is_full:
--- a/bamboojunction/core/once/keys.py
+++ b/bamboojunction/core/once/keys.py
@@ -1,8 +1,15 @@
 """Action keys: the name of the one node incarnation that may start an action."""
 
 from dataclasses import dataclass
+from hashlib import blake2b
 
 KEY_TEXT_MAX = 200
+# Nonces of child calls that grow longer than this are replaced by their digest.
+CHILD_NONCE_MAX = 80
+DIGEST_BYTES = 16
+
+# Separates the steps of child calls; the nonce of a caller may not hold it.
+STEP_SEPARATOR = ">"
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,4 +47,13 @@
 
     def child(self, step: str) -> "ActionKey":
         """Return the key of a child call that the upstream labelled with a step."""
-        return ActionKey(self.home, f"{self.nonce}.{step}")
+        nonce = f"{self.nonce}{STEP_SEPARATOR}{step}"
+        if len(nonce) > CHILD_NONCE_MAX:
+            digest = blake2b(nonce.encode(), digest_size=DIGEST_BYTES).hexdigest()
+            nonce = f"{STEP_SEPARATOR}{digest}"
+        return ActionKey(self.home, nonce)
+
+    @property
+    def is_child(self) -> bool:
+        """Return whether the key names a step of another action."""
+        return STEP_SEPARATOR in self.nonce
--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from typing import Protocol
 
 from bamboojunction.core.calls import Call
 from bamboojunction.core.membership.view import MembershipView
@@ -15,13 +16,29 @@
 from bamboojunction.core.retries.policy import GiveUp, RetryAfter, RetryPolicy
 from bamboojunction.core.routing.router import AttemptEnd, Chosen, Router, RouteRequest
 from bamboojunction.core.table.rows import Row
-from bamboojunction.node.serving import GateService
 from bamboojunction.nodes.convert import answer_to_reply, call_to_request
 from bamboojunction.nodes.links import LinkFailure, LinkPool
 from bamboojunction.nodes.messages import Target
 from bamboojunction.nodes.replies import GateReply
 
 
+class Gate(Protocol):
+    """Serve calls at the upstream beside this node."""
+
+    async def serve(self, call: Call) -> GateReply:
+        """Serve one attempt."""
+
+
+class KeyedSends(Protocol):
+    """Let the home of a key follow every single attempt."""
+
+    def prepare(self, call: Call, instance: str) -> bool:
+        """Name the attempt in the call, or return False when the instance may not be used."""
+
+    def may_resend(self, outcome: Outcome) -> bool:
+        """Settle the attempt and return whether the next one may start."""
+
+
 class CallRouter:
     """Route calls to gates, the one beside this node among them."""
 
@@ -33,7 +50,7 @@
         router: Router,
         view: MembershipView,
         links: LinkPool,
-        gate: GateService,
+        gate: Gate,
     ):
         self._instance = instance
         self._router = router
@@ -43,18 +60,20 @@
         self._loop = asyncio.get_running_loop()
         self._policies: dict[str, RetryPolicy] = {}
 
-    async def route(self, call: Call, row: Row) -> Outcome:
+    async def route(self, call: Call, row: Row, sends: KeyedSends | None = None) -> Outcome:
         """Attempt a call until it is settled or may not be tried again."""
         excluded: frozenset[str] = frozenset()
         policy = self._policies.setdefault(call.service, RetryPolicy())
         while True:
-            outcome, instance = await self._attempt(call, row, excluded)
+            outcome, instance = await self._attempt(call, row, excluded, sends)
             now = self._loop.time()
             decision = policy.decide(row, outcome, outcome.allowance_left, call.deadline, now)
             match decision:
                 case GiveUp():
                     return outcome
                 case RetryAfter(delay=delay):
+                    if sends is not None and not sends.may_resend(outcome):
+                        return outcome
                     call.allowance = outcome.allowance_left - 1
                     excluded = excluded | {instance} if instance else excluded
                     await asyncio.sleep(delay)
@@ -87,7 +106,7 @@
         return answer_to_reply(answer)
 
     async def _attempt(
-        self, call: Call, row: Row, excluded: frozenset[str]
+        self, call: Call, row: Row, excluded: frozenset[str], sends: KeyedSends | None
     ) -> tuple[Outcome, str | None]:
         now = self._loop.time()
         request = RouteRequest(
@@ -95,6 +114,9 @@
         )
         match self._router.choose(request, now):
             case Chosen(instance=instance):
+                if sends is not None and not sends.prepare(call, instance):
+                    refusal = NotRun(NotRunReason.NO_UPSTREAM, allowance_left=call.allowance)
+                    return refusal, instance
                 outcome = await self._send_tracked(instance, call)
                 return outcome, instance
             case NotRun() as refusal:
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -12,6 +12,7 @@
 from bamboojunction.conf.settings import Settings
 from bamboojunction.core.admission.gate import Admission
 from bamboojunction.core.membership.view import Announcement, MembershipView
+from bamboojunction.core.once.gate_records import GateRecords
 from bamboojunction.core.once.home import Home
 from bamboojunction.core.once.keys import ActionKey
 from bamboojunction.core.outcomes import NotRun, NotRunReason
@@ -21,12 +22,14 @@
 from bamboojunction.node.calling import CallRouter
 from bamboojunction.node.contexts import RunningCalls
 from bamboojunction.node.keyed import KeyedCalls
+from bamboojunction.node.keyed_gate import KeyedGate
 from bamboojunction.node.serving import GateService
 from bamboojunction.node.sync import Sync
+from bamboojunction.node.testimony import GateQuestions
 from bamboojunction.nodes.convert import request_to_call
 from bamboojunction.nodes.handshake import Identity
 from bamboojunction.nodes.links import LinkPool
-from bamboojunction.nodes.messages import CallRequest, Seal, SealAnswer, Target
+from bamboojunction.nodes.messages import CallRequest, Target
 from bamboojunction.nodes.replies import GateReply
 from bamboojunction.nodes.server import LinkServer
 from bamboojunction.operators.state import NodeState
@@ -69,8 +72,12 @@
             PoisonGuard(),
             self.running,
         )
-        self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.gate)
-        self.keyed = KeyedCalls(Home(node.instance, incarnation), self.calls, self.view)
+        gate_id = f"{node.instance}/{incarnation}"
+        self.keyed_gate = KeyedGate(self.gate, GateRecords(), gate_id)
+        self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.keyed_gate)
+        questions = GateQuestions(self.links, self.view, self.keyed_gate)
+        home = Home(node.instance, incarnation)
+        self.keyed = KeyedCalls(home, self.calls, self.view, self.links, questions)
         self.sync = Sync(
             self._announcement(incarnation),
             self.view,
@@ -80,7 +87,11 @@
             self._update_router,
         )
         self.link_server = LinkServer(
-            identity, settings.links, self._serve_request, self._serve_seal, self.links.handlers
+            identity,
+            settings.links,
+            self._serve_request,
+            self.keyed_gate.answer_seal,
+            self.links.handlers,
         )
         reader = RequestReader(self.holder, self.running)
         self.sink = CallSink(reader, self.calls, self.keyed, settings.callers.body_max_bytes)
@@ -116,10 +127,11 @@
         """Leave gracefully: refuse new work, finish what runs, then close."""
         deadline = self._loop.time() + self.settings.node.stop_deadline_seconds
         self.sink.is_draining = True
+        self.keyed.drain()
         self.gate.drain()
         leaving = asyncio.create_task(self.sync.leave())
         await asyncio.sleep(LEAVE_NOTICE_SECONDS)
-        while self.gate.report().in_flight and self._loop.time() < deadline:
+        while self._is_busy() and self._loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         leaving.cancel()
         await self.close()
@@ -135,6 +147,9 @@
         await self.links.close()
         await self.upstream.close()
 
+    def _is_busy(self) -> bool:
+        return self.gate.report().in_flight > 0 or self.keyed.running > 0
+
     def _announcement(self, incarnation: str) -> Announcement:
         node = self.settings.node
         return Announcement(
@@ -155,12 +170,9 @@
     async def _serve_request(self, request: CallRequest) -> GateReply:
         call = request_to_call(request, self._loop.time())
         if request.target == Target.GATE:
-            return await self.gate.serve(call)
+            return await self.keyed_gate.serve(call)
         key = ActionKey.parse(call.key)
         if key is None:
             return GateReply(NotRun(NotRunReason.KEY_INVALID))
         row = self.holder.row(call.kind)
         return GateReply(await self.keyed.serve_home(call, row, key))
-
-    def _serve_seal(self, seal: Seal) -> SealAnswer:
-        return SealAnswer(seal.request_id, False)
--- a/bamboojunction/nodes/convert.py
+++ b/bamboojunction/nodes/convert.py
@@ -2,6 +2,7 @@
 
 from bamboojunction.core.calls import Call
 from bamboojunction.core.load import AdmissionLevel, LoadReport
+from bamboojunction.core.once.gate_records import Knowledge, Testimony
 from bamboojunction.core.outcomes import (
     NotRun,
     NotRunReason,
@@ -10,7 +11,14 @@
     Unknown,
     UnknownReason,
 )
-from bamboojunction.nodes.messages import CallAnswer, CallRequest, Load, Target, Verdict
+from bamboojunction.nodes.messages import (
+    CallAnswer,
+    CallRequest,
+    Load,
+    SealAnswer,
+    Target,
+    Verdict,
+)
 from bamboojunction.nodes.replies import GateReply
 
 _NOT_RUN_BY_VALUE = {reason.value: reason for reason in NotRunReason}
@@ -35,6 +43,7 @@
         call.headers,
         call.body,
         call.traceparent,
+        call.gate,
     )
 
 
@@ -54,6 +63,7 @@
         headers=request.headers,
         body=request.body,
         traceparent=request.traceparent,
+        gate=request.gate,
     )
 
 
@@ -86,6 +96,26 @@
     )
 
 
+def testimony_to_answer(request_id: int, testimony: Testimony) -> SealAnswer:
+    """Return the message that carries what a gate knows of a key."""
+    match testimony:
+        case Testimony(Knowledge.ENDED, outcome) if outcome is not None:
+            return SealAnswer(request_id, False, reply_to_answer(0, GateReply(outcome)))
+        case Testimony(Knowledge.RUNNING):
+            return SealAnswer(request_id, False, running=True)
+        case Testimony(knowledge):
+            return SealAnswer(request_id, knowledge is Knowledge.SEALED)
+
+
+def answer_to_testimony(answer: SealAnswer) -> Testimony:
+    """Return what a gate told of a key."""
+    if answer.sealed:
+        return Testimony(Knowledge.SEALED)
+    if answer.answer is not None:
+        return Testimony(Knowledge.ENDED, _answer_to_outcome(answer.answer))
+    return Testimony(Knowledge.RUNNING if answer.running else Knowledge.FORGOTTEN)
+
+
 def _answer_to_outcome(answer: CallAnswer) -> Outcome:
     left = answer.allowance_left
     match answer.verdict:
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -38,7 +38,10 @@
 
 
 class CallRequest(Message, tag=1):
-    """Ask the receiver to serve a call; ``remaining`` is the time left in seconds."""
+    """Ask the receiver to serve a call; ``remaining`` is the time left in seconds.
+
+    ``gate`` names the only gate incarnation that may run the attempt of a keyed call.
+    """
 
     request_id: int
     target: int
@@ -55,6 +58,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     traceparent: str
+    gate: str = ""
 
 
 class Load(Message):
@@ -139,18 +143,26 @@
 
 
 class Seal(Message, tag=9):
-    """Ask a gate to refuse a key for good unless it has already seen it."""
+    """Ask a gate to refuse a key for good unless it has already seen it.
+
+    With an ``attempt``, the home asks about that attempt only. Without ``promises``, the gate tells
+    what it knows and binds itself to nothing. Only the incarnation that ``gate`` names may answer.
+    """
 
     request_id: int
     key: str
+    attempt: int = 0
+    gate: str = ""
+    promises: bool = True
 
 
 class SealAnswer(Message, tag=10):
-    """Answer a seal: sealed now, or what the gate knows of the key."""
+    """Answer a seal: sealed now, running, or how the call ended; none of these when forgotten."""
 
     request_id: int
     sealed: bool
     answer: CallAnswer | None = None
+    running: bool = False
 
 
 AnyMessage = (
