--- a/bamboojunction/callers/app.py
+++ b/bamboojunction/callers/app.py
@@ -20,7 +20,7 @@
 class CallSink:
     """Take every request outside the node's own pages as a call."""
 
-    __slots__ = ("_body_max_bytes", "_keyed", "_reader", "_router", "is_draining")
+    __slots__ = ("_body_max_bytes", "_keyed", "_reader", "_router", "in_flight", "is_draining")
 
     def __init__(
         self, reader: RequestReader, router: CallRouter, keyed: KeyedCalls, body_max_bytes: int
@@ -29,10 +29,18 @@
         self._router = router
         self._keyed = keyed
         self._body_max_bytes = body_max_bytes
+        self.in_flight = 0
         self.is_draining = False
 
     async def __call__(self, request: falcon.asgi.Request, response: falcon.asgi.Response, **_):
         """Route the request's call and answer with its outcome."""
+        self.in_flight += 1
+        try:
+            await self._handle(request, response)
+        finally:
+            self.in_flight -= 1
+
+    async def _handle(self, request, response) -> None:
         body = await self._read_body(request)
         if body is None:
             self._write(response, NotRun(NotRunReason.TOO_LARGE))
--- a/bamboojunction/callers/requests.py
+++ b/bamboojunction/callers/requests.py
@@ -9,6 +9,7 @@
 
 from bamboojunction.callers import headers as names
 from bamboojunction.core.calls import Call
+from bamboojunction.core.clock import PauseDetector
 from bamboojunction.core.once.keys import ActionKey
 from bamboojunction.core.table.holder import TableHolder
 from bamboojunction.core.table.rows import Effect, Row
@@ -43,11 +44,12 @@
 class RequestReader:
     """Read requests by the table in force and the calls that run here."""
 
-    __slots__ = ("_holder", "_loop", "_running")
+    __slots__ = ("_holder", "_loop", "_pauses", "_running")
 
-    def __init__(self, holder: TableHolder, running: RunningCalls):
+    def __init__(self, holder: TableHolder, running: RunningCalls, pauses: PauseDetector):
         self._holder = holder
         self._running = running
+        self._pauses = pauses
         self._loop = asyncio.get_running_loop()
 
     def read(
@@ -81,7 +83,7 @@
             action=headers.get("bamboo-action", "") or secrets.token_hex(ACTION_BYTES),
             kind=kind,
             service=service,
-            deadline=self._loop.time() + deadline_ms / 1000,
+            deadline=self._pauses.deadline(deadline_ms / 1000, self._loop.time()),
             allowance=min(allowance, row.retries),
             key=headers.get("bamboo-key", ""),
             attempt=attempt,
--- a/bamboojunction/management/commands/node.py
+++ b/bamboojunction/management/commands/node.py
@@ -33,6 +33,8 @@
         loop.add_signal_handler(signal_number, stop.set)
     await node.start()
     await stop.wait()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, node.force_stop)
     await node.stop()
 
 
--- a/bamboojunction/node/keyed.py
+++ b/bamboojunction/node/keyed.py
@@ -71,6 +71,7 @@
         "_router",
         "_tasks",
         "_view",
+        "last_key_at",
     )
 
     def __init__(
@@ -87,6 +88,7 @@
         self._links = links
         self._questions = questions
         self._loop = asyncio.get_running_loop()
+        self.last_key_at: float | None = None
         self._futures_by_key: dict[ActionKey, asyncio.Future] = {}
         self._tasks: set[asyncio.Task] = set()
 
@@ -164,7 +166,8 @@
         try:
             outcome = await self._router.route(call, row, sends)
         finally:
-            self._home.settle(key, sends.attempt, outcome, self._loop.time())
+            self.last_key_at = self._loop.time()
+            self._home.settle(key, sends.attempt, outcome, self.last_key_at)
             self._futures_by_key.pop(key).set_result(outcome)
 
     async def _clear_doubt(self, key: ActionKey) -> None:
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -11,6 +11,8 @@
 from bamboojunction.callers.server import CallerServer
 from bamboojunction.conf.settings import Settings
 from bamboojunction.core.admission.gate import Admission
+from bamboojunction.core.clock import TICK_SECONDS, PauseDetector
+from bamboojunction.core.leaving import Close, Leaving, Wait, Work
 from bamboojunction.core.membership.view import Announcement, MembershipView
 from bamboojunction.core.once.gate_records import GateRecords
 from bamboojunction.core.once.home import Home
@@ -37,9 +39,6 @@
 from bamboojunction.upstreams.client import UpstreamClient
 
 INCARNATION_BYTES = 6
-# Peers learn within this time that the node leaves; until then their calls are refused as not run.
-LEAVE_NOTICE_SECONDS = 0.5
-DRAIN_POLL_SECONDS = 0.05
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -61,6 +60,8 @@
         self.view = MembershipView()
         self.router = Router.from_config(node)
         self.running = RunningCalls()
+        self.pauses = PauseDetector(self._loop.time())
+        self._leaving: Leaving | None = None
         identity = Identity(node.instance, incarnation, settings.links.secret.encode())
         host, _ = split_address(node.link_address)
         self.links = LinkPool(identity, settings.links, host)
@@ -93,12 +94,12 @@
             self.keyed_gate.answer_seal,
             self.links.handlers,
         )
-        reader = RequestReader(self.holder, self.running)
+        reader = RequestReader(self.holder, self.running, self.pauses)
         self.sink = CallSink(reader, self.calls, self.keyed, settings.callers.body_max_bytes)
         host, port = split_address(node.caller_address)
         app = create_app(self.sink, self.keyed, self.state)
         self.caller_server = CallerServer(app, host, port, settings.callers)
-        self._idle_closer: asyncio.Task | None = None
+        self._tasks: list[asyncio.Task] = []
 
     def state(self) -> NodeState:
         """Describe the node for operators."""
@@ -120,35 +121,66 @@
         await self.link_server.start(host, port)
         self.caller_server.start()
         self.sync.start()
-        self._idle_closer = asyncio.create_task(self.links.close_idle())
+        self._tasks = [
+            asyncio.create_task(self.links.close_idle()),
+            asyncio.create_task(self._watch_pauses()),
+        ]
         logger.info("event=node_started instance={}", self.settings.node.instance)
 
     async def stop(self) -> None:
         """Leave gracefully: refuse new work, finish what runs, then close."""
-        deadline = self._loop.time() + self.settings.node.stop_deadline_seconds
+        self._leaving = Leaving(self._loop.time(), self.settings.node.stop_deadline_seconds)
         self.sink.is_draining = True
         self.keyed.drain()
         self.gate.drain()
         leaving = asyncio.create_task(self.sync.leave())
-        await asyncio.sleep(LEAVE_NOTICE_SECONDS)
-        while self._is_busy() and self._loop.time() < deadline:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        closing = await self._wait_to_close(self._leaving)
         leaving.cancel()
         await self.close()
-        logger.info("event=node_stopped instance={}", self.settings.node.instance)
+        logger.info(
+            "event=node_stopped instance={} reason={} cut={}",
+            self.settings.node.instance,
+            closing.reason.name.lower(),
+            closing.cut,
+        )
 
     async def close(self) -> None:
         """Close every socket and end every task."""
-        if self._idle_closer is not None:
-            self._idle_closer.cancel()
+        for task in self._tasks:
+            task.cancel()
         await self.sync.close()
         await self.caller_server.close()
         await self.link_server.close()
         await self.links.close()
         await self.upstream.close()
 
-    def _is_busy(self) -> bool:
-        return self.gate.report().in_flight > 0 or self.keyed.running > 0
+    def force_stop(self) -> None:
+        """Close at once although work is under way: a second signal came during the stop."""
+        if self._leaving is not None:
+            self._leaving.force()
+
+    async def _wait_to_close(self, leaving: Leaving) -> Close:
+        while True:
+            match leaving.decide(self._work(), self._loop.time()):
+                case Close() as closing:
+                    return closing
+                case Wait(seconds):
+                    await asyncio.sleep(seconds)
+
+    def _work(self) -> Work:
+        return Work(
+            executing=self.gate.report().in_flight,
+            attempts=self.keyed.running,
+            requests=self.sink.in_flight,
+            last_key_at=self.keyed.last_key_at,
+        )
+
+    async def _watch_pauses(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            pause = self.pauses.tick(self._loop.time())
+            if pause:
+                logger.warning("event=paused seconds={:.3f}", pause)
 
     def _announcement(self, incarnation: str) -> Announcement:
         node = self.settings.node
@@ -168,7 +200,8 @@
             self.router.update(service, self.view.serving(service))
 
     async def _serve_request(self, request: CallRequest) -> GateReply:
-        call = request_to_call(request, self._loop.time())
+        now = self._loop.time()
+        call = request_to_call(request, now - self.pauses.age_max(now))
         if request.target == Target.GATE:
             return await self.keyed_gate.serve(call)
         key = ActionKey.parse(call.key)
--- /dev/null
+++ b/tests/leaving/test_clock.py
@@ -0,0 +1,38 @@
+"""A budget read after a pause never looks fresh."""
+
+import unittest
+
+from bamboojunction.core.clock import BACKLOG_SECONDS, TICK_SECONDS, PauseDetector
+
+
+class PauseDetectorTests(unittest.TestCase):
+    def setUp(self):
+        self.detector = PauseDetector(0.0)
+
+    def test_budget_is_kept_while_the_loop_ticks(self):
+        for step in range(1, 100):
+            self.assertEqual(self.detector.tick(step * TICK_SECONDS), 0.0)
+        now = 99 * TICK_SECONDS + 0.01
+        self.assertEqual(self.detector.deadline(2.0, now), now + 2.0)
+
+    def test_call_read_before_the_first_tick_after_a_pause_is_as_old_as_the_pause(self):
+        self.assertLessEqual(self.detector.deadline(2.0, 10.0), 10.0)
+
+    def test_call_read_after_that_tick_is_still_from_the_backlog(self):
+        self.assertEqual(self.detector.tick(10.0), 10.0)
+        now = 10.0 + BACKLOG_SECONDS / 2
+        self.detector.tick(now - 0.01)
+        self.assertLessEqual(self.detector.deadline(9.0, now), now)
+
+    def test_budget_is_whole_again_once_the_backlog_is_read(self):
+        self.detector.tick(10.0)
+        now = 10.0
+        while now < 10.0 + BACKLOG_SECONDS:
+            now += TICK_SECONDS
+            self.detector.tick(now)
+        self.assertEqual(self.detector.deadline(2.0, now), now + 2.0)
+
+    def test_two_pauses_in_a_row_count_for_the_longer_one(self):
+        self.detector.tick(5.0)
+        self.detector.tick(5.5)
+        self.assertEqual(self.detector.age_max(5.6), 5.0)
