Added the exchange of table and view between nodes, and the platform's budget

Nodes probe a few peers twice a second with a digest; changed rows and announcements travel as deltas. Liveness and removals come from these probes and never from the store. A few nodes of each data centre wait for changes at the platform, the others read seldom.

--- a/bamboojunction/conf/settings.py
+++ b/bamboojunction/conf/settings.py
@@ -38,7 +38,7 @@
 
     addresses: str = ""
     timeout_seconds: float = 2.0
-    watch_seconds: float = 20.0
+    watch_seconds: float = 5.0
 
 
 @dataclass(slots=True)
--- a/bamboojunction/core/membership/view.py
+++ b/bamboojunction/core/membership/view.py
@@ -3,6 +3,13 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
+import xxhash
+
+BUCKETS = 64
+BUCKET_HASH_BITS = 32
+# A superseding start time is this much later than the one it replaces.
+START_STEP_SECONDS = 0.001
+
 
 class InstanceState(StrEnum):
     """Say whether an instance takes new work."""
@@ -16,8 +23,9 @@
 class Announcement:
     """Describe one incarnation of an instance, as its own node wrote it.
 
-    ``address`` is the ``ip:port`` of the node's link listener. ``sequence`` grows with each
-    announcement of the same incarnation; ``started_at`` (seconds of wall time) orders incarnations.
+    ``address`` is the ``ip:port`` of the node's link listener and ``caller_address`` that of its
+    face towards callers. ``sequence`` grows with each announcement of the same incarnation;
+    ``started_at`` (seconds of wall time) orders incarnations.
     """
 
     instance: str
@@ -29,29 +37,48 @@
     started_at: float
     sequence: int = 0
     state: InstanceState = InstanceState.SERVING
+    caller_address: str = ""
 
     @property
     def order(self) -> tuple[float, str, int]:
         """Return the sort key by which later announcements replace earlier ones."""
         return (self.started_at, self.incarnation, self.sequence)
 
+    @property
+    def is_gone(self) -> bool:
+        """Return whether the instance has left or was removed."""
+        return self.state is InstanceState.GONE
+
 
 class MembershipView:
-    """Merge announcements from the platform and from peers."""
+    """Merge announcements from the platform and from peers.
+
+    ``hashes`` holds a hash for each bucket of instances, kept up to date with every change. Gone
+    instances are not part of them, so that two views agree however long each remembers.
+    """
 
-    __slots__ = ("by_instance",)
+    __slots__ = ("_changed_services", "by_instance", "hashes", "revision")
 
     def __init__(self):
         self.by_instance: dict[str, Announcement] = {}
+        self.hashes = [0] * BUCKETS
+        self.revision = 0
+        self._changed_services: set[str] = set()
 
     def merge(self, announcement: Announcement) -> bool:
         """Take in an announcement and return whether it was news."""
         known = self.by_instance.get(announcement.instance)
         if known is not None and known.order >= announcement.order:
             return False
+        self._replace(known, announcement)
         self.by_instance[announcement.instance] = announcement
         return True
 
+    def forget(self, instance: str) -> None:
+        """Drop an instance."""
+        known = self.by_instance.pop(instance, None)
+        self._replace(known, None)
+
     def serving(self, service: str) -> list[Announcement]:
         """Return the instances of a service that take new work."""
         return [
@@ -60,7 +87,65 @@
             if announcement.service == service and announcement.state is InstanceState.SERVING
         ]
 
+    def present(self) -> list[Announcement]:
+        """Return the instances that are not gone."""
+        return [entry for entry in self.by_instance.values() if not entry.is_gone]
+
+    def take_changed_services(self) -> set[str]:
+        """Return the services whose instances changed since the last call."""
+        changed = self._changed_services
+        self._changed_services = set()
+        return changed
+
+    def total_hash(self) -> int:
+        """Return one hash of all instances that are not gone."""
+        packed = b"".join(value.to_bytes(4, "big") for value in self.hashes)
+        return xxhash.xxh3_64_intdigest(packed) >> 1
+
+    def in_buckets(self, buckets: frozenset[int]) -> list[Announcement]:
+        """Return the instances of some buckets that are not gone."""
+        return [
+            entry
+            for entry in self.by_instance.values()
+            if not entry.is_gone and bucket_of(entry.instance) in buckets
+        ]
+
+    def _replace(self, old: Announcement | None, new: Announcement | None) -> None:
+        self.revision += 1
+        for entry in (old, new):
+            if entry is not None:
+                self._changed_services.add(entry.service)
+            if entry is not None and not entry.is_gone:
+                self.hashes[bucket_of(entry.instance)] ^= _entry_hash(entry)
+
+
+def bucket_of(instance: str) -> int:
+    """Return the bucket that an instance belongs to."""
+    return xxhash.xxh32_intdigest(instance.encode()) % BUCKETS
+
 
 def drained(announcement: Announcement) -> Announcement:
     """Return the announcement that says an instance is leaving."""
-    return replace(announcement, sequence=announcement.sequence + 1, state=InstanceState.DRAINING)
+    return with_state(announcement, InstanceState.DRAINING)
+
+
+def with_state(announcement: Announcement, state: InstanceState) -> Announcement:
+    """Return the next announcement of the same incarnation, in a state."""
+    return replace(announcement, sequence=announcement.sequence + 1, state=state)
+
+
+def superseding(announcement: Announcement, other: Announcement) -> Announcement:
+    """Return an announcement that is later than another one of the same instance.
+
+    The clock of a replaced instance may be behind the clock of the one that it replaces.
+    """
+    if announcement.incarnation == other.incarnation:
+        sequence = max(announcement.sequence, other.sequence) + 1
+        return replace(announcement, sequence=sequence)
+    started_at = max(announcement.started_at, other.started_at + START_STEP_SECONDS)
+    return replace(announcement, started_at=started_at)
+
+
+def _entry_hash(entry: Announcement) -> int:
+    text = f"{entry.instance}|{entry.started_at!r}|{entry.incarnation}|{entry.sequence}"
+    return xxhash.xxh32_intdigest(text.encode())
--- a/bamboojunction/core/table/csvfile.py
+++ b/bamboojunction/core/table/csvfile.py
@@ -4,7 +4,7 @@
 import csv
 import io
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
@@ -25,6 +25,8 @@
 OWN_COLUMN_PREFIX = "x-"
 COMMENT_PREFIX = "#"
 
+Rules = Callable[[dict[str, Row]], Iterator[TableProblem]]
+
 
 @dataclass(slots=True, frozen=True)
 class Record:
@@ -48,12 +50,13 @@
 
 
 def parse_table(
-    text: str, version: int, edit_id: str, *, own_columns_only: bool = False
+    text: str, version: int, edit_id: str, *, for_operators: bool = False
 ) -> Result[Table, list[TableProblem]]:
     """Read a whole table, or return every problem found.
 
-    With ``own_columns_only`` an unknown column is a problem unless it starts with ``x-``; without,
-    unknown columns are kept for the newer release that wrote them.
+    A text ``for_operators`` also has to meet the rules that concern several rows, and an unknown
+    column is a problem unless it starts with ``x-``. A text from a peer was checked before it was
+    accepted, maybe by another release: its unknown columns are kept.
     """
     if len(text) > TEXT_MAX_CHARACTERS:
         expected = f"at most {TEXT_MAX_CHARACTERS} characters"
@@ -65,10 +68,11 @@
         return Err([TableProblem(1, "", "", "a header line with the names of the columns")])
     header, *rest = records.ok()
     names = [name.strip().lower() for name in header.cells]
-    problems = _header_problems(header.line, names, own_columns_only)
+    problems = _header_problems(header.line, names, for_operators)
     if problems:
         return Err(problems)
-    return _read_rows(names, rest, Table(version=version, edit_id=edit_id))
+    rules = cross_row_problems if for_operators else _no_problems
+    return _read_rows(names, rest, Table(version=version, edit_id=edit_id), rules)
 
 
 def _read_records(text: str) -> Result[list[Record], TableProblem]:
@@ -97,7 +101,7 @@
     return max(DELIMITERS, key=header.count)
 
 
-def _header_problems(line: int, names: list[str], own_columns_only: bool) -> list[TableProblem]:
+def _header_problems(line: int, names: list[str], for_operators: bool) -> list[TableProblem]:
     missing = [name for name in REQUIRED_COLUMN_NAMES if name not in names]
     repeated = [name for name, count in Counter(names).items() if count > 1 and name]
     unknown = [
@@ -109,12 +113,12 @@
     return [
         *(TableProblem(line, name, "", "this column in the header") for name in missing),
         *(TableProblem(line, name, name, "each column once") for name in repeated),
-        *(TableProblem(line, name, name, allowed) for name in unknown if own_columns_only),
+        *(TableProblem(line, name, name, allowed) for name in unknown if for_operators),
     ]
 
 
 def _read_rows(
-    names: list[str], records: list[Record], empty: Table
+    names: list[str], records: list[Record], empty: Table, rules: Rules
 ) -> Result[Table, list[TableProblem]]:
     if not records or len(records) > ROWS_MAX:
         return Err([TableProblem(0, "", f"{len(records)} rows", f"1 to {ROWS_MAX} rows")])
@@ -131,7 +135,7 @@
             case Ok(row):
                 by_kind[row.kind] = row
                 line_by_kind[row.kind] = record.line
-    problems.extend(_with_lines(cross_row_problems(by_kind), line_by_kind))
+    problems.extend(_with_lines(rules(by_kind), line_by_kind))
     if problems:
         return Err(sorted(problems, key=lambda problem: problem.line))
     return Ok(replace(empty, by_kind=by_kind))
@@ -152,6 +156,10 @@
     )
 
 
+def _no_problems(by_kind: dict[str, Row]) -> Iterator[TableProblem]:
+    return iter(())
+
+
 def _with_lines(
     problems: Iterator[TableProblem], line_by_kind: dict[str, int]
 ) -> Iterator[TableProblem]:
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -71,12 +71,13 @@
         )
         self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.gate)
         self.keyed = KeyedCalls(Home(node.instance, incarnation), self.calls, self.view)
-        self.sync = Sync(
+        self.sync = Sync.from_config(
+            settings,
             self._announcement(incarnation),
             self.view,
             self.holder,
             HttpPlatformClient.from_config(settings.platform),
-            settings.platform.watch_seconds,
+            self.links,
             self._update_router,
         )
         self.link_server = LinkServer(
@@ -145,11 +146,11 @@
             region=node.region,
             address=node.link_advertised_address or node.link_address,
             started_at=time.time(),
+            caller_address=node.caller_address,
         )
 
     def _update_router(self) -> None:
-        services = {entry.service for entry in self.view.by_instance.values()}
-        for service in services:
+        for service in self.view.take_changed_services():
             self.router.update(service, self.view.serving(service))
 
     async def _serve_request(self, request: CallRequest) -> GateReply:
--- a/bamboojunction/node/sync.py
+++ b/bamboojunction/node/sync.py
@@ -1,119 +1,146 @@
-"""Announces this node and follows the table and the announcements of others."""
+"""Keeps the table and the view of the instances up to date, over links and from the platform."""
 
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
-import msgspec
 from loguru import logger
-from result import Ok
 
-from bamboojunction.core.membership.view import Announcement, MembershipView, drained
-from bamboojunction.core.table.csvfile import parse_table
+from bamboojunction.conf.settings import Settings
+from bamboojunction.core.membership.exchange import TICK_SECONDS, Exchange
+from bamboojunction.core.membership.messages import Send
+from bamboojunction.core.membership.view import (
+    Announcement,
+    InstanceState,
+    MembershipView,
+    drained,
+    with_state,
+)
 from bamboojunction.core.table.holder import TableHolder
-from bamboojunction.platform.client import PlatformClient, PlatformObject
+from bamboojunction.node.platform_sync import PlatformSync
+from bamboojunction.nodes.exchange_wire import WIRE_TYPES, from_wire, to_wire
+from bamboojunction.nodes.messages import AnyMessage
+from bamboojunction.platform.client import PlatformClient
 
-UPSTREAMS = "upstreams"
-TABLES = "tables"
-RETRY_SECONDS = 0.5
+# News waits this long for more news, so that one message carries both.
+FLUSH_DELAY_SECONDS = 0.05
+GOODBYE_SECONDS = 1.0
+
+
+class Links(Protocol):
+    """Send messages to other nodes and hand over theirs, as the link pool does."""
+
+    def send(self, address: str, message: AnyMessage) -> None:
+        """Send a message that may be lost."""
+
+    def abandon(self, address: str) -> None:
+        """Drop a link to a node that stays silent."""
+
+    def on_message(self, message_type: type, handler: Callable[[str, AnyMessage], None]) -> None:
+        """Set the handler of a type of message."""
 
 
 class Sync:
-    """Keep the view and the table equal to the platform's."""
-
-    __slots__ = (
-        "_announcement",
-        "_client",
-        "_holder",
-        "_on_view",
-        "_tasks",
-        "_version",
-        "_view",
-        "_wait",
-    )
+    """Own the exchange with peers and the tasks that talk to the platform."""
+
+    __slots__ = ("_flush_timer", "_links", "_loop", "_platform", "_ticker", "exchange")
 
     def __init__(
         self,
+        exchange: Exchange,
+        platform: PlatformSync,
+        links: Links,
+    ):
+        self.exchange = exchange
+        self._platform = platform
+        self._links = links
+        self._loop = asyncio.get_running_loop()
+        self._ticker: asyncio.Task | None = None
+        self._flush_timer: asyncio.TimerHandle | None = None
+        for message_type in WIRE_TYPES:
+            links.on_message(message_type, self._take)
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
         announcement: Announcement,
         view: MembershipView,
         holder: TableHolder,
         client: PlatformClient,
-        watch_seconds: float,
+        links: Links,
         on_view: Callable[[], None],
-    ):
-        self._announcement = announcement
-        self._view = view
-        self._holder = holder
-        self._client = client
-        self._wait = watch_seconds
-        self._on_view = on_view
-        self._version = 0
-        self._tasks: list[asyncio.Task] = []
+        generator: random.Random | None = None,
+    ) -> "Sync":
+        """Create the exchange and the platform's tasks of a node."""
+        generator = generator or random.Random()
+        own_changed = asyncio.Event()
+        seeds = settings.links.seeds.split()
+        exchange = Exchange(announcement, view, holder, seeds, generator, on_view, own_changed.set)
+        platform = PlatformSync(exchange, client, settings.platform, generator, own_changed)
+        sync = cls(exchange, platform, links)
+        platform.on_news = sync.send
+        return sync
 
     def start(self) -> None:
-        """Start the tasks."""
-        self._view.merge(self._announcement)
-        self._on_view()
-        self._tasks = [
-            asyncio.create_task(self._announce()),
-            asyncio.create_task(self._follow(UPSTREAMS, self._take_upstream)),
-            asyncio.create_task(self._follow(TABLES, self._take_table)),
-        ]
+        """Announce this node and start the tasks."""
+        self.exchange.announce(self.exchange.own, self._loop.time())
+        self._ticker = asyncio.create_task(self._tick())
+        self._platform.start()
 
     async def leave(self) -> None:
         """Announce that this node takes no new work."""
-        self._announcement = drained(self._announcement)
-        self._view.merge(self._announcement)
-        self._on_view()
-        await self._announce()
+        now = self._loop.time()
+        self.exchange.announce(drained(self.exchange.own), now)
+        self.send(self.exchange.flush(now))
 
     async def close(self) -> None:
-        """End the tasks and close the platform client."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._client.close()
-
-    async def _announce(self) -> None:
-        name = self._announcement.instance
-        while True:
-            known = await self._client.get(UPSTREAMS, name)
-            version = known.ok().version if known.is_ok() else 0
-            value = msgspec.to_builtins(self._announcement)
-            written = await self._client.put(UPSTREAMS, name, value, version)
-            if written.is_ok():
-                return
-            await asyncio.sleep(RETRY_SECONDS)
-
-    async def _follow(self, collection: str, take: Callable[[PlatformObject], None]) -> None:
-        while True:
-            listed = await self._client.list(collection)
-            if listed.is_ok():
-                for item in listed.ok().objects:
-                    take(item)
-                self._on_view()
-                await self._watch(collection, listed.ok().revision, take)
-            await asyncio.sleep(RETRY_SECONDS)
-
-    async def _watch(self, collection: str, revision: int, take) -> None:
-        while True:
-            watched = await self._client.watch(collection, revision, self._wait)
-            if watched.is_err():
-                return
-            batch = watched.ok()
-            revision = batch.revision
-            for item in batch.changed:
-                take(item)
-            self._on_view()
-
-    def _take_upstream(self, item: PlatformObject) -> None:
+        """Say goodbye to the peers and the platform, and end the tasks."""
+        now = self._loop.time()
+        if not self.exchange.own.is_gone:
+            self.exchange.announce(with_state(self.exchange.own, InstanceState.GONE), now)
+        self.send(self.exchange.flush(now))
+        if self._ticker is not None:
+            self._ticker.cancel()
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
         try:
-            self._view.merge(msgspec.convert(item.value, Announcement))
-        except msgspec.ValidationError as error:
-            logger.warning("event=announcement_invalid name={} error={}", item.name, error)
-
-    def _take_table(self, item: PlatformObject) -> None:
-        text = item.value.get("text", "")
-        match parse_table(text, item.version, item.value.get("edit_id", "")):
-            case Ok(table):
-                if self._holder.offer(table):
-                    logger.info("event=table_in_force version={}", table.version)
+            async with asyncio.timeout(GOODBYE_SECONDS):
+                await self._platform.withdraw()
+        except TimeoutError:
+            logger.info("event=goodbye_timeout")
+        await self._platform.close()
+
+    def send(self, sends: Iterable[Send]) -> None:
+        """Carry out the sends of the exchange, and pass on news after a short wait."""
+        for send in sends:
+            self._links.send(send.address, to_wire(send.message))
+        if self._flush_timer is None:
+            self._flush_timer = self._loop.call_later(FLUSH_DELAY_SECONDS, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_timer = None
+        for send in self.exchange.flush(self._loop.time()):
+            self._links.send(send.address, to_wire(send.message))
+
+    async def _tick(self) -> None:
+        while True:
+            now = self._loop.time()
+            self.send(self.exchange.tick(now))
+            for address in self.exchange.silent_addresses(now):
+                self._links.abandon(address)
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _take(self, peer: str, message: AnyMessage) -> None:
+        received = from_wire(message)
+        if received.is_err():
+            logger.warning(
+                "event=exchange_message_refused peer={} error={!r}", peer, received.err()
+            )
+            return
+        version = self.exchange.holder.table.version
+        self.send(self.exchange.take(peer, received.ok(), self._loop.time()))
+        table = self.exchange.holder.table
+        if table.version != version:
+            logger.info("event=table_in_force version={} source={}", table.version, peer)
--- /dev/null
+++ b/bamboojunction/nodes/exchange_wire.py
@@ -0,0 +1,153 @@
+"""Conversion between link messages and the messages of the exchange."""
+
+import struct
+
+from result import Err, Ok, Result
+
+from bamboojunction.core.membership.messages import (
+    BucketEntries,
+    BucketHashes,
+    ChangedRows,
+    ExchangeMessage,
+    News,
+    SilenceReport,
+    Summary,
+    TableWanted,
+    WholeTable,
+)
+from bamboojunction.core.membership.view import BUCKETS, Announcement, InstanceState
+from bamboojunction.core.table.csvfile import parse_table
+from bamboojunction.core.table.deltas import Delta
+from bamboojunction.core.table.render import render_table
+from bamboojunction.nodes.messages import (
+    AnyMessage,
+    Digest,
+    Entry,
+    Silence,
+    TableDelta,
+    TableRequest,
+    TableUpdate,
+    ViewBuckets,
+    ViewDelta,
+    ViewHashes,
+)
+
+WIRE_TYPES = (
+    Digest,
+    ViewHashes,
+    ViewBuckets,
+    ViewDelta,
+    TableUpdate,
+    TableDelta,
+    TableRequest,
+    Silence,
+)
+NEVER = -1.0
+_HASHES = struct.Struct(f">{BUCKETS}I")
+
+
+def to_wire(message: ExchangeMessage) -> AnyMessage:
+    """Return the link message that carries a message of the exchange."""
+    match message:
+        case Summary(version, view_hash, age, is_answer):
+            shown_age = NEVER if age is None else round(age, 1)
+            return Digest(version, view_hash, shown_age, is_answer)
+        case BucketHashes(hashes):
+            return ViewHashes(_HASHES.pack(*hashes))
+        case BucketEntries(buckets, entries):
+            return ViewBuckets(bytes(sorted(buckets)), [_to_entry(entry) for entry in entries])
+        case News(entries):
+            return ViewDelta([_to_entry(entry) for entry in entries])
+        case WholeTable(table):
+            return TableUpdate(table.version, table.edit_id, render_table(table))
+        case ChangedRows(delta):
+            return _to_table_delta(delta)
+        case TableWanted(version):
+            return TableRequest(version)
+        case SilenceReport(instance, incarnation):
+            return Silence(instance, incarnation)
+
+
+def from_wire(message: AnyMessage) -> Result[ExchangeMessage, str]:
+    """Return the message of the exchange that a link message carries, or why it has none."""
+    try:
+        return _from_wire(message)
+    except (ValueError, struct.error) as error:
+        return Err(f"malformed {type(message).__name__}: {error}")
+
+
+def _from_wire(message: AnyMessage) -> Result[ExchangeMessage, str]:
+    match message:
+        case Digest(version, view_hash, age, is_answer):
+            return Ok(Summary(version, view_hash, None if age < 0 else age, is_answer))
+        case ViewHashes(hashes):
+            return Ok(BucketHashes(_HASHES.unpack(hashes)))
+        case ViewBuckets(buckets, entries):
+            return Ok(BucketEntries(frozenset(buckets), _from_entries(entries)))
+        case ViewDelta(entries):
+            return Ok(News(_from_entries(entries)))
+        case TableUpdate(version, edit_id, text):
+            table = parse_table(text, version, edit_id)
+            return table.map(WholeTable).map_err(lambda problems: str(problems[0]))
+        case TableDelta():
+            return Ok(ChangedRows(_from_table_delta(message)))
+        case TableRequest(version):
+            return Ok(TableWanted(version))
+        case Silence(instance, incarnation):
+            return Ok(SilenceReport(instance, incarnation))
+    return Err(f"{type(message).__name__} is no message of the exchange")
+
+
+def _to_entry(entry: Announcement) -> Entry:
+    return Entry(
+        entry.instance,
+        entry.incarnation,
+        entry.service,
+        entry.data_centre,
+        entry.region,
+        entry.address,
+        entry.started_at,
+        entry.sequence,
+        entry.state.value,
+        entry.caller_address,
+    )
+
+
+def _from_entries(entries: list[Entry]) -> tuple[Announcement, ...]:
+    return tuple(
+        Announcement(
+            instance=entry.instance,
+            incarnation=entry.incarnation,
+            service=entry.service,
+            data_centre=entry.data_centre,
+            region=entry.region,
+            address=entry.address,
+            started_at=entry.started_at,
+            sequence=entry.sequence,
+            state=InstanceState(entry.state),
+            caller_address=entry.caller_address,
+        )
+        for entry in entries
+    )
+
+
+def _to_table_delta(delta: Delta) -> TableDelta:
+    return TableDelta(
+        delta.base_version,
+        delta.version,
+        delta.edit_id,
+        list(delta.changed),
+        list(delta.removed),
+        delta.content_hash,
+    )
+
+
+def _from_table_delta(message: TableDelta) -> Delta:
+    return Delta(
+        base_version=message.base_version,
+        version=message.version,
+        edit_id=message.edit_id,
+        changed=tuple(message.changed),
+        removed=tuple(message.removed),
+        content_hash=message.content_hash,
+    )
--- a/bamboojunction/nodes/links.py
+++ b/bamboojunction/nodes/links.py
@@ -109,6 +109,7 @@
 
     async def send(self, frame: bytes) -> bool:
         """Send a message that has no answer and return whether it left."""
+        self.last_used = self._loop.time()
         try:
             await self._connection.send(frame)
         except (WebSocketException, OSError):
@@ -136,7 +137,7 @@
         except (WebSocketException, OSError):
             pass
         finally:
-            self._abandon()
+            self.abandon()
 
     def _take(self, message: AnyMessage) -> None:
         match message:
@@ -149,7 +150,8 @@
             case _:
                 self._handlers.dispatch(self.peer, message)
 
-    def _abandon(self) -> None:
+    def abandon(self) -> None:
+        """Close the connection at once; waiting requests are lost."""
         self._connection.transport.abort()
         for future in self._pending_by_id.values():
             if not future.done():
@@ -168,7 +170,7 @@
             if not self.is_open:
                 return
             if self.is_busy and now - self._last_received > 3 * self._heartbeat_seconds:
-                self._abandon()
+                self.abandon()
                 return
             if self.is_busy:
                 await self.send(encode(Heartbeat(token)))
@@ -230,6 +232,13 @@
         """Send a message that has no answer; it is lost when the node cannot be reached."""
         self._spawn(self._send(address, encode(message)))
 
+    def abandon(self, address: str) -> None:
+        """Drop the link to a node that stays silent, unless requests wait on it."""
+        link = self._by_address.get(address)
+        if link is not None and not link.is_busy:
+            link.abandon()
+            del self._by_address[address]
+
     def is_open(self, address: str) -> bool:
         """Return whether a link to the address is open."""
         link = self._by_address.get(address)
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -101,6 +101,7 @@
     started_at: float
     sequence: int
     state: str
+    caller_address: str = ""
 
 
 class ViewDelta(Message, tag=4):
@@ -118,10 +119,15 @@
 
 
 class Digest(Message, tag=6):
-    """Tell what the sender knows, so that the receiver sends what is missing."""
+    """Tell what the sender knows, so that the receiver sends what is missing.
+
+    ``platform_age`` is the time in seconds since the platform was last reached, negative if never.
+    """
 
     table_version: int
     view_hash: int
+    platform_age: float = -1.0
+    is_answer: bool = False
 
 
 class PoisonBan(Message, tag=7):
@@ -153,6 +159,43 @@
     answer: CallAnswer | None = None
 
 
+class ViewHashes(Message, tag=20):
+    """Carry the hash of each bucket of the membership view, four bytes each."""
+
+    hashes: bytes
+
+
+class ViewBuckets(Message, tag=21):
+    """Carry all entries of some buckets and ask for those that the sender lacks."""
+
+    buckets: bytes
+    entries: list[Entry]
+
+
+class TableDelta(Message, tag=22):
+    """Carry the rows that changed between two versions, each as its cells by column."""
+
+    base_version: int
+    version: int
+    edit_id: str
+    changed: list[dict[str, str]]
+    removed: list[str]
+    content_hash: int
+
+
+class TableRequest(Message, tag=23):
+    """Ask for the whole table; ``version`` is the one that the sender holds."""
+
+    version: int
+
+
+class Silence(Message, tag=24):
+    """Report that an instance does not answer the sender."""
+
+    instance: str
+    incarnation: str
+
+
 AnyMessage = (
     Hello
     | CallRequest
@@ -165,4 +208,9 @@
     | Heartbeat
     | Seal
     | SealAnswer
+    | ViewHashes
+    | ViewBuckets
+    | TableDelta
+    | TableRequest
+    | Silence
 )
--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -17,6 +17,8 @@
 import aiohttp
 
 from bamboo_standins.fault_proxy import FaultProxy
+from bamboojunction.core.table.csvfile import parse_table
+from bamboojunction.core.table.objects import Edit, table_value
 
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
@@ -148,7 +150,9 @@
     async def write_table(self, text: str, if_version: int) -> int:
         """Write the table and return the platform's version of it."""
         url = f"http://127.0.0.1:{self.platform_port}/objects/tables/table?if_version={if_version}"
-        value = {"schema": 1, "edit_id": f"edit-{if_version}", "text": text}
+        table = parse_table(text, if_version, "").unwrap()
+        edit = Edit(f"edit-{if_version}", "fleet", "")
+        value = table_value(table, edit, if_version, {}, [])
         async with self._session.put(url, json=value) as response:
             response.raise_for_status()
             return (await response.json())["version"]
--- a/tests/table/test_csvfile.py
+++ b/tests/table/test_csvfile.py
@@ -15,7 +15,7 @@
 
 
 def parse(text: str):
-    return parse_table(text, 7, "edit", own_columns_only=True)
+    return parse_table(text, 7, "edit", for_operators=True)
 
 
 def problems_of(*lines: str, header: str = HEADER):
