--- a/bamboojunction/checks/__init__.py
+++ b/bamboojunction/checks/__init__.py
@@ -1,1 +1,1 @@
-"""The system-check framework that reports errors before anything runs."""
+"""Checks of a node's settings that look at several of them together."""
--- /dev/null
+++ b/bamboojunction/checks/builtin.py
@@ -0,0 +1,29 @@
+"""The checks that every node runs."""
+
+from bamboojunction.checks import addresses, limits
+from bamboojunction.checks.messages import CheckMessage
+from bamboojunction.checks.registry import CheckRegistry
+from bamboojunction.conf.settings import Settings
+
+BUILTIN_CHECKS = (
+    addresses.check_advertised_address,
+    addresses.check_distinct_addresses,
+    addresses.check_platform_address,
+    limits.check_frame_size,
+    limits.check_connections,
+    limits.check_idle_close,
+    limits.check_secret,
+)
+
+
+def builtin_registry() -> CheckRegistry:
+    """Return a registry that holds the built-in checks."""
+    registry = CheckRegistry()
+    for check in BUILTIN_CHECKS:
+        registry.register(check)
+    return registry
+
+
+def check_settings(settings: Settings) -> list[CheckMessage]:
+    """Run the built-in checks."""
+    return builtin_registry().run(settings)
--- /dev/null
+++ b/bamboojunction/checks/limits.py
@@ -0,0 +1,58 @@
+"""Checks of limits that depend on one another."""
+
+from collections.abc import Iterator
+
+from bamboojunction.checks.messages import CheckMessage, Level
+from bamboojunction.conf.settings import Settings
+
+# Room in a frame for the fields of a message besides its headers and its body.
+FRAME_OVERHEAD_BYTES = 4_096
+SECRET_MIN_CHARACTERS = 16
+
+
+def check_frame_size(settings: Settings) -> Iterator[CheckMessage]:
+    """Check that the largest call fits into one message on a link."""
+    callers = settings.callers
+    needed = callers.body_max_bytes + callers.header_max_bytes + FRAME_OVERHEAD_BYTES
+    if settings.links.frame_max_bytes < needed:
+        yield CheckMessage(
+            "limits.E001",
+            Level.ERROR,
+            f"the largest call takes {needed} bytes and does not fit into a message on a link",
+            "raise frame_max_bytes in [links] or lower body_max_bytes in [callers]",
+        )
+
+
+def check_connections(settings: Settings) -> Iterator[CheckMessage]:
+    """Check that each slot can have a connection."""
+    upstream = settings.upstream
+    if upstream.connections < upstream.slots:
+        yield CheckMessage(
+            "limits.W001",
+            Level.WARNING,
+            f"{upstream.connections} connections cannot fill {upstream.slots} slots",
+            "raise connections in [upstream] to at least slots",
+        )
+
+
+def check_idle_close(settings: Settings) -> Iterator[CheckMessage]:
+    """Check that an idle link outlives a few heartbeats."""
+    links = settings.links
+    if links.idle_close_seconds <= links.heartbeat_seconds:
+        yield CheckMessage(
+            "limits.W002",
+            Level.WARNING,
+            "links are closed as idle before their first heartbeat",
+            "raise idle_close_seconds in [links] above heartbeat_seconds",
+        )
+
+
+def check_secret(settings: Settings) -> Iterator[CheckMessage]:
+    """Check that links are closed to strangers."""
+    if len(settings.links.secret) < SECRET_MIN_CHARACTERS:
+        yield CheckMessage(
+            "limits.W003",
+            Level.WARNING,
+            f"the secret of the links has fewer than {SECRET_MIN_CHARACTERS} characters",
+            "set a long random secret in [links], the same on every node",
+        )
--- a/bamboojunction/management/commands/node.py
+++ b/bamboojunction/management/commands/node.py
@@ -7,18 +7,19 @@
 
 import asyncio
 import signal
-import sys
 from pathlib import Path
 
 import uvloop
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
-from loguru import logger
 
+from bamboojunction.checks.builtin import check_settings
+from bamboojunction.checks.messages import has_errors
 from bamboojunction.conf.loader import load_settings
 from bamboojunction.conf.settings import Settings
 from bamboojunction.management.application import SingleCommandApplication
 from bamboojunction.node.process import Node
+from bamboojunction.telemetry.logs import configure_logs
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
@@ -48,16 +49,18 @@
         """Load the settings, then check or run."""
         loaded = load_settings(Path(self.argument("settings")))
         if loaded.is_err():
-            self.line_error(loaded.err())
+            self.line_error(str(loaded.err()))
             return EXIT_BAD_SETTINGS
         settings = loaded.ok()
+        messages = check_settings(settings)
+        for message in messages:
+            self.line_error(f"{self.argument('settings')}: {message}")
+        if has_errors(messages):
+            return EXIT_BAD_SETTINGS
         if self.option("check"):
             self.line("settings are valid")
             return EXIT_OK
-        logger.remove()
-        logger.add(
-            sys.stderr, level=settings.telemetry.log_level, format="{time} {level} {message}"
-        )
+        configure_logs(settings.telemetry)
         uvloop.run(run_node(settings))
         return EXIT_OK
 
