--- /dev/null
+++ b/tests/telemetry/test_traces.py
@@ -0,0 +1,61 @@
+"""Hops are spans of one trace when traces are on; off, the trace passes through untouched."""
+
+import subprocess
+import sys
+import unittest
+
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
+
+from bamboojunction.conf.loader import parse_settings
+from bamboojunction.telemetry.spans import OUTCOME_ATTRIBUTE, ExportedTraces
+from bamboojunction.telemetry.traces import Traces
+from tests.conf.test_loader import VALID
+
+TRACEPARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
+
+class TracesTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.settings = parse_settings(VALID, "node.ini").unwrap()
+        self.exporter = InMemorySpanExporter()
+        processor = SimpleSpanProcessor(self.exporter)
+        self.traces = ExportedTraces(self.settings.node, processor)
+
+    async def test_hops_form_a_chain_under_the_callers_span(self):
+        outer = self.traces.start_hop("router", TRACEPARENT)
+        inner = self.traces.start_hop("gate", outer.traceparent)
+        inner.end("ran")
+        outer.end("ran")
+        gate, router = self.exporter.get_finished_spans()
+        self.assertEqual(f"{router.parent.span_id:016x}", "b7ad6b7169203331")
+        self.assertEqual(gate.parent.span_id, router.context.span_id)
+        self.assertEqual(f"{gate.context.trace_id:032x}", TRACEPARENT.split("-")[1])
+        self.assertEqual(gate.attributes[OUTCOME_ATTRIBUTE], "ran")
+        await self.traces.close()
+
+    def test_missing_or_malformed_parent_starts_a_new_trace(self):
+        for parent in ("", "nonsense", "00-0-0-01"):
+            with self.subTest(parent=parent):
+                hop = self.traces.start_hop("router", parent)
+                self.assertRegex(hop.traceparent, r"^00-[0-9a-f]{32}-[0-9a-f]{16}-0[13]$")
+
+    def test_callers_choice_not_to_sample_is_kept(self):
+        hop = self.traces.start_hop("router", TRACEPARENT[:-2] + "00")
+        hop.end("ran")
+        self.assertTrue(hop.traceparent.endswith("-00"))
+        self.assertEqual(self.exporter.get_finished_spans(), ())
+
+    async def test_trace_passes_through_when_off(self):
+        traces = Traces.from_config(self.settings)
+        hop = traces.start_hop("router", TRACEPARENT)
+        hop.end("ran")
+        await traces.close()
+        self.assertEqual(hop.traceparent, TRACEPARENT)
+
+    def test_tracing_library_is_not_imported_when_off(self):
+        script = (
+            "import sys, bamboojunction.telemetry.traces, bamboojunction.node.process;"
+            "sys.exit('opentelemetry' in sys.modules)"
+        )
+        self.assertEqual(subprocess.run([sys.executable, "-c", script]).returncode, 0)
