--- a/bamboojunction/management/application.py
+++ b/bamboojunction/management/application.py
@@ -4,10 +4,14 @@
 
 from cleo.application import Application
 from cleo.commands.command import Command
+from cleo.exceptions import CleoError
 from cleo.io.inputs.argv_input import ArgvInput
+from cleo.io.io import IO
 
 from bamboojunction import __version__
 
+EXIT_BAD_ARGUMENTS = 2
+
 
 class SingleCommandApplication(Application):
     """Run one command whose name need not be typed."""
@@ -21,3 +25,12 @@
         """Run the command with the arguments of the process."""
         program, *arguments = sys.argv
         return self.run(ArgvInput([program, self._only_command_name, *arguments]))
+
+    def _run(self, io: IO) -> int:
+        """Report arguments that do not parse in one line."""
+        try:
+            return super()._run(io)
+        except CleoError as error:
+            text = " ".join(str(error).split())
+            io.write_error_line(f"{self._only_command_name}: {text}; see --help")
+            return EXIT_BAD_ARGUMENTS
--- /dev/null
+++ b/bamboojunction/management/load/__init__.py
@@ -0,0 +1,1 @@
+"""A bounded load of calls: what to send, sending it, and what came back."""
--- /dev/null
+++ b/bamboojunction/management/load/client.py
@@ -0,0 +1,123 @@
+"""Sending of one call to a node, as any caller would."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+from enum import StrEnum
+
+import aiohttp
+
+from bamboojunction.callers import headers as names
+from bamboojunction.management.load.plan import CallPlan
+
+NONCE_BYTES = 12
+# Time to wait for an answer beyond the call's own deadline, or in all without one.
+ANSWER_GRACE_SECONDS = 5.0
+ANSWER_MAX_SECONDS = 120.0
+
+
+class Ending(StrEnum):
+    """Say how a call ended for its caller; a lost one got no whole answer from the node."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    LOST = "lost"
+
+
+@dataclass(slots=True, frozen=True)
+class CallResult:
+    """Hold what came back for one call."""
+
+    kind: str
+    ending: Ending
+    status: int = 0
+    reason: str = ""
+    key: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    seconds: float = 0.0
+
+    @property
+    def is_good(self) -> bool:
+        """Return whether the call ran and its upstream succeeded."""
+        return self.ending is Ending.RAN and self.status < 400
+
+
+class CallClient:
+    """Own the connections to one node."""
+
+    __slots__ = ("_base", "_home", "_loop", "_session")
+
+    def __init__(self, address: str, connections: int):
+        self._base = f"http://{address}"
+        self._home = ""
+        self._loop = asyncio.get_running_loop()
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=connections),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._session.close()
+
+    async def call(self, plan: CallPlan, kind: str, scheduled_at: float) -> CallResult:
+        """Send one call; its time counts from the moment it was scheduled for."""
+        try:
+            key = await self._key(plan, kind)
+            answer = await self._exchange(plan, kind, key)
+        except (aiohttp.ClientError, OSError) as error:
+            reason = type(error).__name__
+            return CallResult(kind, Ending.LOST, reason=reason, seconds=self._since(scheduled_at))
+        ending, response, body = answer
+        pairs = tuple(response.headers.items())
+        reason = response.headers.get(names.REASON, "")
+        return CallResult(
+            kind, ending, response.status, reason, key, pairs, body, self._since(scheduled_at)
+        )
+
+    def _since(self, moment: float) -> float:
+        return self._loop.time() - moment
+
+    async def _key(self, plan: CallPlan, kind: str) -> str:
+        if plan.key or not plan.is_keyed(kind):
+            return plan.key
+        if not self._home:
+            async with self._session.get(f"{self._base}/_bamboo/home") as response:
+                self._home = await response.text()
+        return f"{self._home}/{secrets.token_hex(NONCE_BYTES)}"
+
+    async def _exchange(
+        self, plan: CallPlan, kind: str, key: str
+    ) -> tuple[Ending, aiohttp.ClientResponse, bytes]:
+        seconds = plan.deadline_ms / 1000 + ANSWER_GRACE_SECONDS
+        timeout = aiohttp.ClientTimeout(total=seconds if plan.deadline_ms else ANSWER_MAX_SECONDS)
+        async with self._session.request(
+            plan.method,
+            self._base + plan.path,
+            headers=_request_headers(plan, kind, key),
+            data=plan.body or None,
+            timeout=timeout,
+            allow_redirects=False,
+        ) as response:
+            body = await response.read()
+        self._home = response.headers.get(names.HOME, self._home)
+        return _read_ending(response), response, body
+
+
+def _request_headers(plan: CallPlan, kind: str, key: str) -> dict[str, str]:
+    headers = {
+        names.KIND: kind,
+        names.SERVICE: plan.service,
+        names.DEADLINE_MS: str(plan.deadline_ms or ""),
+        names.KEY: key,
+    }
+    return {name: value for name, value in headers.items() if value}
+
+
+def _read_ending(response: aiohttp.ClientResponse) -> Ending:
+    try:
+        return Ending(response.headers.get(names.OUTCOME, ""))
+    except ValueError:
+        return Ending.LOST
