--- a/bamboojunction/callers/app.py
+++ b/bamboojunction/callers/app.py
@@ -12,6 +12,7 @@
 from bamboojunction.core.table.rows import Effect
 from bamboojunction.node.calling import CallRouter
 from bamboojunction.node.keyed import KeyedCalls
+from bamboojunction.operators.health import HealthStatus, health_of, render_health
 from bamboojunction.operators.state import NodeState, render_state
 
 RECEIVE_KEY = "bamboojunction.receive"
@@ -132,6 +133,23 @@
         response.content_type = falcon.MEDIA_JSON
 
 
+class HealthPage:
+    """Tell load balancers and operators whether the node takes new calls."""
+
+    __slots__ = ("_read_state",)
+
+    def __init__(self, read_state: Callable[[], NodeState]):
+        self._read_state = read_state
+
+    async def on_get(self, request, response) -> None:
+        """Answer with the health as JSON, with status 503 while the node drains."""
+        health = health_of(self._read_state())
+        is_serving = health.status is HealthStatus.SERVING
+        response.status = falcon.HTTP_200 if is_serving else falcon.HTTP_503
+        response.data = render_health(health)
+        response.content_type = falcon.MEDIA_JSON
+
+
 class CallerRequest(falcon.asgi.Request):
     """Give the headers with lower-case names."""
 
@@ -148,6 +166,7 @@
     app = falcon.asgi.App(request_type=CallerRequest)
     app.add_route("/_bamboo/home", HomePage(keyed))
     app.add_route("/_bamboo/state", StatePage(read_state))
+    app.add_route("/_bamboo/health", HealthPage(read_state))
     app.add_sink(sink, prefix="/")
 
     async def keep_receive(scope, receive, send):
--- a/bamboojunction/management/commands/call.py
+++ b/bamboojunction/management/commands/call.py
@@ -38,7 +38,8 @@
 One call prints its outcome on the error output and the upstream's body on the output. A load prints
 its progress on the error output while that is a terminal, then outcomes by rank and kind with
 latencies in milliseconds, and a histogram. With --rate, the time of a call counts from the moment
-that the rate gave it, so that a slow answer is seen in the calls that had to wait behind it.
+that the rate gave it, so that a slow answer is seen in the calls that had to wait behind it. In the
+path and the body, {number} stands for the number of the call, from 0.
 
 Exit codes: 0 every call ran and succeeded; 1 an upstream answered with status 400 or above;
 2 bad arguments; 3 a call was not run; 4 a call's outcome is unknown; 5 a call got no whole answer
--- a/bamboojunction/management/load/client.py
+++ b/bamboojunction/management/load/client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 import aiohttp
@@ -27,10 +27,11 @@
 
 @dataclass(slots=True, frozen=True)
 class CallResult:
-    """Hold what came back for one call."""
+    """Hold what came back for one call of a load."""
 
     kind: str
     ending: Ending
+    number: int = 0
     status: int = 0
     reason: str = ""
     key: str = ""
@@ -62,23 +63,18 @@
         """Close the connections."""
         await self._session.close()
 
-    async def call(self, plan: CallPlan, kind: str, scheduled_at: float) -> CallResult:
+    async def call(
+        self, plan: CallPlan, kind: str, scheduled_at: float, number: int = 0
+    ) -> CallResult:
         """Send one call; its time counts from the moment it was scheduled for."""
+        key = plan.key
         try:
             key = await self._key(plan, kind)
-            answer = await self._exchange(plan, kind, key)
+            result = await self._exchange(plan, kind, key, number)
         except (aiohttp.ClientError, OSError) as error:
             reason = type(error).__name__
-            return CallResult(kind, Ending.LOST, reason=reason, seconds=self._since(scheduled_at))
-        ending, response, body = answer
-        pairs = tuple(response.headers.items())
-        reason = response.headers.get(names.REASON, "")
-        return CallResult(
-            kind, ending, response.status, reason, key, pairs, body, self._since(scheduled_at)
-        )
-
-    def _since(self, moment: float) -> float:
-        return self._loop.time() - moment
+            result = CallResult(kind, Ending.LOST, number, reason=reason, key=key)
+        return replace(result, seconds=self._loop.time() - scheduled_at)
 
     async def _key(self, plan: CallPlan, kind: str) -> str:
         if plan.key or not plan.is_keyed(kind):
@@ -88,22 +84,29 @@
                 self._home = await response.text()
         return f"{self._home}/{secrets.token_hex(NONCE_BYTES)}"
 
-    async def _exchange(
-        self, plan: CallPlan, kind: str, key: str
-    ) -> tuple[Ending, aiohttp.ClientResponse, bytes]:
+    async def _exchange(self, plan: CallPlan, kind: str, key: str, number: int) -> CallResult:
         seconds = plan.deadline_ms / 1000 + ANSWER_GRACE_SECONDS
         timeout = aiohttp.ClientTimeout(total=seconds if plan.deadline_ms else ANSWER_MAX_SECONDS)
         async with self._session.request(
             plan.method,
-            self._base + plan.path,
+            self._base + plan.path_of(number),
             headers=_request_headers(plan, kind, key),
-            data=plan.body or None,
+            data=plan.body_of(number) or None,
             timeout=timeout,
             allow_redirects=False,
         ) as response:
             body = await response.read()
         self._home = response.headers.get(names.HOME, self._home)
-        return _read_ending(response), response, body
+        return CallResult(
+            kind,
+            _read_ending(response),
+            number,
+            response.status,
+            response.headers.get(names.REASON, ""),
+            key,
+            tuple(response.headers.items()),
+            body,
+        )
 
 
 def _request_headers(plan: CallPlan, kind: str, key: str) -> dict[str, str]:
--- a/bamboojunction/management/load/plan.py
+++ b/bamboojunction/management/load/plan.py
@@ -8,6 +8,8 @@
 from bamboojunction.core.table.rows import Effect, Table, row_for
 
 UNKNOWN_RANK = -1
+# Stands in a path or a body for the number of the call, so that calls can differ.
+NUMBER_PLACEHOLDER = "{number}"
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,7 +22,10 @@
 
 @dataclass(slots=True)
 class CallPlan:
-    """Describe the calls of a load; every call is the same but for its kind and key."""
+    """Describe the calls of a load.
+
+    The calls differ in kind and key only, unless the path or the body has the placeholder.
+    """
 
     shares: tuple[KindShare, ...]
     service: str = ""
@@ -32,6 +37,14 @@
     is_once: bool = False
     table: Table = field(default_factory=Table)
 
+    def path_of(self, number: int) -> str:
+        """Return the path of a call."""
+        return self.path.replace(NUMBER_PLACEHOLDER, str(number))
+
+    def body_of(self, number: int) -> bytes:
+        """Return the body of a call."""
+        return self.body.replace(NUMBER_PLACEHOLDER.encode(), b"%d" % number)
+
     def is_keyed(self, kind: str) -> bool:
         """Return whether calls of a kind need a key."""
         row = self.table.by_kind.get(kind)
--- a/bamboojunction/management/load/runner.py
+++ b/bamboojunction/management/load/runner.py
@@ -33,7 +33,7 @@
     async def _send_from(self, calls: Iterator[tuple[int, str]], started_at: float) -> None:
         for number, kind in calls:
             scheduled_at = await self._wait_turn(number, started_at)
-            self._handle(await self._client.call(self._plan, kind, scheduled_at))
+            self._handle(await self._client.call(self._plan, kind, scheduled_at, number))
 
     async def _wait_turn(self, number: int, started_at: float) -> float:
         """Wait for a call's moment and return it; a call that is late keeps its moment."""
--- a/devtools/bamboo_standins/upstream.py
+++ b/devtools/bamboo_standins/upstream.py
@@ -166,7 +166,7 @@
         if crash_text and crash_text.encode() in body:
             os._exit(CRASH_EXIT_CODE)
         if self.faults.refuse or self.waiting >= self.config.slots * WAITING_PER_SLOT:
-            return self._answer(503, b"shed")
+            return self._shed()
         deadline_ms = request.headers.get("Bamboo-Deadline-Ms")
         if deadline_ms is None:
             return await self._run(request, body)
@@ -280,6 +280,12 @@
             headers[CHAIN_HEADER] = chain
         return web.Response(status=status, body=body, headers=headers)
 
+    def _shed(self) -> web.Response:
+        answer = self._answer(503, b"shed")
+        # The node passes this on as a refusal, because nothing of the request ran.
+        answer.headers["Bamboo-Outcome"] = "not-run"
+        return answer
+
     async def _handle_control(self, request: web.BaseRequest, path: str) -> web.StreamResponse:
         match (request.method, path):
             case ("GET", "/_health"):
--- a/tests/commands/test_load.py
+++ b/tests/commands/test_load.py
@@ -22,6 +22,8 @@
 
     def __init__(self):
         self.headers: list[dict[str, str]] = []
+        self.bodies: list[bytes] = []
+        self.paths: list[str] = []
         self.status = 200
         self.answer_headers = {"Bamboo-Outcome": "ran", "Bamboo-Home": "a/1/2"}
 
@@ -29,6 +31,8 @@
         if request.path == "/_bamboo/home":
             return web.Response(text="a/1/1")
         self.headers.append(dict(request.headers))
+        self.bodies.append(await request.read())
+        self.paths.append(request.path)
         return web.Response(status=self.status, body=b"body", headers=self.answer_headers)
 
 
@@ -70,6 +74,12 @@
         self.assertEqual(self.node.headers[0]["Bamboo-Key"], "a/1/1/mine")
         self.assertEqual(result.key, "a/1/1/mine")
 
+    async def test_calls_differ_by_their_number(self):
+        plan = CallPlan(SHARES, path="/bays/{number}", body=b"bay {number}")
+        await self.run_load(plan, Pace(count=3))
+        self.assertEqual(self.node.bodies, [b"bay 0", b"bay 1", b"bay 2"])
+        self.assertEqual(self.node.paths, ["/bays/0", "/bays/1", "/bays/2"])
+
     async def test_answer_without_an_outcome_is_lost(self):
         self.node.answer_headers = {}
         [result] = await self.run_load(CallPlan(SHARES), Pace())
@@ -84,9 +94,9 @@
 class SummaryTests(unittest.TestCase):
     def setUp(self):
         self.summary = Summary({"reserve": 1, "bay-search": 3})
-        self.summary.add(CallResult("bay-search", Ending.RAN, 200, seconds=0.004))
-        self.summary.add(CallResult("bay-search", Ending.NOT_RUN, 503, "shed", seconds=0.001))
-        self.summary.add(CallResult("reserve", Ending.UNKNOWN, 504, "lost-link", seconds=0.3))
+        self.summary.add(CallResult("bay-search", Ending.RAN, 0, 200, seconds=0.004))
+        self.summary.add(CallResult("bay-search", Ending.NOT_RUN, 1, 503, "shed", seconds=0.001))
+        self.summary.add(CallResult("reserve", Ending.UNKNOWN, 2, 504, "lost-link", seconds=0.3))
 
     def test_figures_are_by_rank_and_kind(self):
         figures = self.summary.figures(seconds=2.0)
