--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -73,20 +73,14 @@
             PoisonGuard(),
             self.running,
         )
-<<<<<<< HEAD
         gate_id = f"{node.instance}/{incarnation}"
         self.keyed_gate = KeyedGate(self.gate, GateRecords(), gate_id)
         self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.keyed_gate)
         questions = GateQuestions(self.links, self.view, self.keyed_gate)
         home = Home(node.instance, incarnation)
         self.keyed = KeyedCalls(home, self.calls, self.view, self.links, questions)
-        self.sync = Sync(
-=======
-        self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.gate)
-        self.keyed = KeyedCalls(Home(node.instance, incarnation), self.calls, self.view)
         self.sync = Sync.from_config(
             settings,
->>>>>>> table
             self._announcement(incarnation),
             self.view,
             self.holder,
--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -106,7 +106,7 @@
     _extra: list[asyncio.subprocess.Process] = field(default_factory=list)
 
     async def start(self) -> None:
-        """Start everything and wait until each node sees every service and the table."""
+        """Start everything and wait until each node sees all others and the table."""
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self.platform_port = free_port("127.0.0.1")
         await self.start_platform()
@@ -115,7 +115,7 @@
             self.by_instance[plan.instance] = await self._place(plan)
         await asyncio.gather(*(self.start_upstream(name) for name in self.by_instance))
         await asyncio.gather(*(self.start_node(name) for name in self.by_instance))
-        await asyncio.gather(*(self.wait_ready(name) for name in self.by_instance))
+        await asyncio.gather(*(self.wait_whole(name) for name in self.by_instance))
 
     async def stop(self) -> None:
         """End every process that was started."""
@@ -198,16 +198,6 @@
             f"{name}-node", "bamboojunction.management.commands.node", [str(path)]
         )
 
-    async def wait_ready(self, name: str) -> None:
-        """Wait until a node has the table and knows an instance of each service."""
-        services = {plan.service for plan in self.plans}
-
-        def is_ready(state: dict) -> bool:
-            known = {entry["service"] for entry in state["upstreams"]}
-            return state["table_version"] > 0 and services <= known
-
-        await self.wait_state(name, is_ready)
-
     async def wait_state(
         self, name: str, condition: Callable[[dict], bool], seconds: float = READY_SECONDS
     ) -> dict:
