Fixed the upstream client re-sending calls on a lost connection

aiohttp 3.14 repeats GET, HEAD, PUT, DELETE, OPTIONS and TRACE by itself when a pooled connection closes before the answer.

--- a/bamboojunction/upstreams/client.py
+++ b/bamboojunction/upstreams/client.py
@@ -17,6 +17,7 @@
     Unknown,
     UnknownReason,
 )
+from bamboojunction.upstreams.single_send import send_once
 
 ANSWER_MAX_BYTES = 1_000_000
 OVERLOAD_STATUSES = frozenset({429, 503})
@@ -61,6 +62,7 @@
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None),
+            middlewares=(send_once,),
         )
 
     @classmethod
--- /dev/null
+++ b/tests/once/test_upstream_client.py
@@ -0,0 +1,91 @@
+"""The client towards the upstream sends each call once and never takes part of an answer as whole."""
+
+import asyncio
+import unittest
+
+from bamboojunction.core.calls import Call
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Ran, Unknown, UnknownReason
+from bamboojunction.upstreams.client import ANSWER_MAX_BYTES, UpstreamClient
+
+METHODS = ("GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH")
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+EMPTY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+SHORT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+CHUNK = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"
+HEADERS_ONLY = b"HTTP/1.1 200 OK\r\nContent-"
+HUGE = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (ANSWER_MAX_BYTES + 1)
+
+
+class ScriptedUpstream:
+    """Answer each request that arrives with the next of some bytes; close where they are None."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.requests = []
+        self.connections = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def accept(self, reader, writer):
+        self.connections += 1
+        try:
+            while head := await self.read_head(reader):
+                self.requests.append(head.split()[0].decode())
+                answer = self.script.pop(0) if self.script else WHOLE
+                if answer is None:
+                    break
+                writer.write(answer)
+                if answer not in (WHOLE, EMPTY):
+                    break
+        finally:
+            writer.close()
+
+    async def read_head(self, reader):
+        try:
+            return await reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return b""
+
+
+class UpstreamClientTests(unittest.IsolatedAsyncioTestCase):
+    async def start(self, *script):
+        upstream = ScriptedUpstream(script)
+        client = UpstreamClient(await upstream.start(), connections=4)
+        self.addAsyncCleanup(client.close)
+        self.addCleanup(upstream.server.close)
+        return upstream, client
+
+    async def send(self, client, method="POST"):
+        deadline = asyncio.get_running_loop().time() + 20.0
+        call = Call("action", "kind", "service", deadline, method=method)
+        return (await client.send(call, [])).outcome
+
+    async def test_no_method_is_sent_again_on_a_stale_connection(self):
+        for method in METHODS:
+            with self.subTest(method=method):
+                upstream, client = await self.start(EMPTY, None)
+                self.assertIsInstance(await self.send(client, method), Ran)
+                outcome = await self.send(client, method)
+                self.assertEqual(outcome, Unknown(UnknownReason.LOST_UPSTREAM))
+                self.assertEqual(upstream.requests, [method, method])
+                self.assertEqual(upstream.connections, 1)
+
+    async def test_refused_connection_is_not_run(self):
+        upstream, client = await self.start()
+        upstream.server.close()
+        await upstream.server.wait_closed()
+        outcome = await self.send(client)
+        self.assertIsInstance(outcome, NotRun)
+        self.assertIs(outcome.reason, NotRunReason.UNREACHABLE)
+
+    async def test_answer_that_ends_early_is_unknown(self):
+        for answer in (SHORT, CHUNK, HEADERS_ONLY):
+            with self.subTest(answer=answer):
+                _, client = await self.start(answer)
+                self.assertIsInstance(await self.send(client), Unknown)
+
+    async def test_answer_over_the_limit_is_unknown(self):
+        _, client = await self.start(HUGE + b"x" * (ANSWER_MAX_BYTES + 1))
+        self.assertEqual(await self.send(client), Unknown(UnknownReason.TOO_LARGE))
