--- a/tests/once/test_upstream_client.py
+++ b/tests/once/test_upstream_client.py
@@ -1,4 +1,4 @@
-"""The client towards the upstream sends each call once and never takes part of an answer as whole."""
+"""The client sends each call once and never takes part of an answer for the whole."""
 
 import asyncio
 import unittest
