--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -73,6 +73,7 @@
             PoisonGuard(),
             self.running,
         )
+<<<<<<< HEAD
         gate_id = f"{node.instance}/{incarnation}"
         self.keyed_gate = KeyedGate(self.gate, GateRecords(), gate_id)
         self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.keyed_gate)
@@ -80,11 +81,17 @@
         home = Home(node.instance, incarnation)
         self.keyed = KeyedCalls(home, self.calls, self.view, self.links, questions)
         self.sync = Sync(
+=======
+        self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.gate)
+        self.keyed = KeyedCalls(Home(node.instance, incarnation), self.calls, self.view)
+        self.sync = Sync.from_config(
+            settings,
+>>>>>>> table
             self._announcement(incarnation),
             self.view,
             self.holder,
             HttpPlatformClient.from_config(settings.platform),
-            settings.platform.watch_seconds,
+            self.links,
             self._update_router,
         )
         self.link_server = LinkServer(
@@ -192,11 +199,11 @@
             region=node.region,
             address=node.link_advertised_address or node.link_address,
             started_at=time.time(),
+            caller_address=node.caller_address,
         )
 
     def _update_router(self) -> None:
-        services = {entry.service for entry in self.view.by_instance.values()}
-        for service in services:
+        for service in self.view.take_changed_services():
             self.router.update(service, self.view.serving(service))
 
     async def _serve_request(self, request: CallRequest) -> GateReply:
--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -17,6 +17,8 @@
 import aiohttp
 
 from bamboo_standins.fault_proxy import FaultProxy, ProxyFaults
+from bamboojunction.core.table.csvfile import parse_table
+from bamboojunction.core.table.objects import Edit, table_value
 
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
@@ -153,7 +155,9 @@
     async def write_table(self, text: str, if_version: int) -> int:
         """Write the table and return the platform's version of it."""
         url = f"http://127.0.0.1:{self.platform_port}/objects/tables/table?if_version={if_version}"
-        value = {"schema": 1, "edit_id": f"edit-{if_version}", "text": text}
+        table = parse_table(text, if_version, "").unwrap()
+        edit = Edit(f"edit-{if_version}", "fleet", "")
+        value = table_value(table, edit, if_version, {}, [])
         async with self._session.put(url, json=value) as response:
             response.raise_for_status()
             return (await response.json())["version"]
@@ -253,6 +257,31 @@
         for running in self.by_instance.values():
             running.proxy.clear_faults()
 
+    async def restore(self) -> None:
+        """Take back every fault, restart what died and wait until every node sees all others."""
+        self.heal()
+        await self.platform_faults()
+        for name, running in self.by_instance.items():
+            if running.upstream.returncode is not None:
+                await self.start_upstream(name)
+            await self.upstream_faults(name)
+            if running.node.returncode is not None:
+                await self.start_node(name)
+            else:
+                self.signal_node(name, signal.SIGCONT)
+        await asyncio.gather(*(self.wait_whole(name) for name in self.by_instance))
+
+    async def wait_whole(self, name: str) -> None:
+        """Wait until a node sees every instance serving."""
+
+        def is_whole(state: dict) -> bool:
+            serving = {
+                entry["instance"] for entry in state["upstreams"] if entry["state"] == "serving"
+            }
+            return state["table_version"] > 0 and serving == set(self.by_instance)
+
+        await self.wait_state(name, is_whole)
+
     def signal_node(self, name: str, signal_number: int) -> None:
         """Send a signal to a node's process."""
         self.by_instance[name].node.send_signal(signal_number)
