Added quarantine and travelling suspicions to the poison guard

Two crashes at different nodes were never put together, each broken connection counted as a crash of its own, and whatever was in flight at two crashes was banned by coincidence. The guard now tracks what runs at its upstream, names each crash, and tells its suspicions to the nodes of the service. A suspect runs at one instance that all nodes agree on by hash, after the copies that started before the crash have shown themselves, and with no other suspect beside it. A request that ran to its end is cleared, and a ban clears those whose crashes it explains.

The gate's shell and the links carry the new decisions and messages (PoisonSuspicions, PoisonClearance); the guard's driver protocol changed.

--- a/bamboojunction/core/outcomes.py
+++ b/bamboojunction/core/outcomes.py
@@ -8,6 +8,7 @@
     """Say why a call was refused before any of it ran."""
 
     SHED = "shed"
+    SHED_AT_EDGE = "shed-at-edge"
     DEADLINE = "deadline"
     DRAINING = "draining"
     NO_UPSTREAM = "no-upstream"
@@ -17,6 +18,7 @@
     KEY_REQUIRED = "key-required"
     KEY_INVALID = "key-invalid"
     POISONED = "poisoned"
+    QUARANTINED = "quarantined"
     CANCELLED = "cancelled"
     TOO_LARGE = "too-large"
     SETTLED = "settled-not-run"
--- /dev/null
+++ b/bamboojunction/node/poison.py
@@ -0,0 +1,99 @@
+"""The travel of poison findings between the nodes of a service."""
+
+import asyncio
+from itertools import groupby
+
+from bamboojunction.core.membership.view import MembershipView
+from bamboojunction.core.poison.decisions import Ban, Clearance, Finding, Suspicion
+from bamboojunction.core.poison.guard import PoisonGuard
+from bamboojunction.core.poison.quarantine import quarantine_instance
+from bamboojunction.nodes.links import LinkPool
+from bamboojunction.nodes.messages import (
+    AnyMessage,
+    PoisonBan,
+    PoisonClearance,
+    PoisonSuspicions,
+)
+
+
+class PoisonNews:
+    """Tell the other nodes of the service what the guard found, and hear what theirs found."""
+
+    __slots__ = ("_guard", "_instance", "_links", "_loop", "_service", "_view")
+
+    def __init__(
+        self,
+        instance: str,
+        service: str,
+        guard: PoisonGuard,
+        view: MembershipView,
+        links: LinkPool,
+    ):
+        self._instance = instance
+        self._service = service
+        self._guard = guard
+        self._view = view
+        self._links = links
+        self._loop = asyncio.get_running_loop()
+        for message_type in (PoisonBan, PoisonSuspicions, PoisonClearance):
+            links.on_message(message_type, self._hear)
+
+    def is_quarantine(self, fingerprint: int) -> bool:
+        """Return whether a suspect may run at this node's upstream."""
+        names = {entry.instance for entry in self._view.serving(self._service)}
+        return quarantine_instance(fingerprint, names | {self._instance}) == self._instance
+
+    def tell(self, findings: list[Finding]) -> None:
+        """Send findings to every other node of the service."""
+        messages = to_messages(findings, self._loop.time())
+        peers = (
+            entry for entry in self._view.serving(self._service) if entry.instance != self._instance
+        )
+        for peer in peers:
+            for message in messages:
+                self._links.send(peer.address, message)
+
+    def _hear(self, peer: str, message: AnyMessage) -> None:
+        now = self._loop.time()
+        for finding in to_findings(message, now):
+            consequences = self._guard.learn(finding, now)
+            if consequences:
+                self.tell(consequences)
+
+
+def to_messages(findings: list[Finding], now: float) -> list[AnyMessage]:
+    """Return the messages that carry findings; times become time remaining."""
+    messages: list[AnyMessage] = []
+    for finding in findings:
+        match finding:
+            case Ban(fingerprint=fingerprint, until=until):
+                messages.append(PoisonBan(fingerprint, until - now))
+            case Clearance(fingerprint=fingerprint):
+                messages.append(PoisonClearance(fingerprint))
+    suspicions = (finding for finding in findings if isinstance(finding, Suspicion))
+    for crash, group in groupby(suspicions, key=lambda suspicion: suspicion.crash):
+        members = list(group)
+        messages.append(
+            PoisonSuspicions(
+                crash,
+                max(member.until for member in members) - now,
+                [member.fingerprint for member in members],
+                [member.hold_until - now for member in members],
+            )
+        )
+    return messages
+
+
+def to_findings(message: AnyMessage, now: float) -> list[Finding]:
+    """Return the findings that a message carries."""
+    match message:
+        case PoisonBan(fingerprint=fingerprint, remaining=remaining):
+            return [Ban(fingerprint, now + remaining)]
+        case PoisonClearance(fingerprint=fingerprint):
+            return [Clearance(fingerprint)]
+        case PoisonSuspicions():
+            return [
+                Suspicion(fingerprint, message.crash, now + hold, now + message.remaining)
+                for fingerprint, hold in zip(message.fingerprints, message.holds, strict=False)
+            ]
+    return []
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -21,6 +21,7 @@
 from bamboojunction.node.calling import CallRouter
 from bamboojunction.node.contexts import RunningCalls
 from bamboojunction.node.keyed import KeyedCalls
+from bamboojunction.node.poison import PoisonNews
 from bamboojunction.node.serving import GateService
 from bamboojunction.node.sync import Sync
 from bamboojunction.nodes.convert import request_to_call
@@ -62,13 +63,17 @@
         host, _ = split_address(node.link_address)
         self.links = LinkPool(identity, settings.links, host)
         self.upstream = UpstreamClient.from_config(settings.upstream)
+        guard = PoisonGuard(f"{node.instance}/{incarnation}")
         self.gate = GateService(
             Admission.from_config(settings.upstream),
             self.upstream,
             self.holder,
-            PoisonGuard(),
+            guard,
             self.running,
         )
+        news = PoisonNews(node.instance, node.service, guard, self.view, self.links)
+        self.gate.is_quarantine = news.is_quarantine
+        self.gate.on_findings = news.tell
         self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.gate)
         self.keyed = KeyedCalls(Home(node.instance, incarnation), self.calls, self.view)
         self.sync = Sync(
--- a/bamboojunction/node/serving.py
+++ b/bamboojunction/node/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from dataclasses import replace
 
 from bamboojunction.core.admission.gate import (
@@ -14,8 +15,17 @@
 )
 from bamboojunction.core.calls import Call
 from bamboojunction.core.load import LoadReport
-from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
-from bamboojunction.core.poison.guard import PoisonGuard, fingerprint_of
+from bamboojunction.core.outcomes import (
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Ran,
+    Unknown,
+    UnknownReason,
+)
+from bamboojunction.core.poison.decisions import Finding, HoldSuspect, RefuseSuspect, RunAlone
+from bamboojunction.core.poison.fingerprints import fingerprint_of
+from bamboojunction.core.poison.guard import PoisonGuard
 from bamboojunction.core.table.holder import TableHolder
 from bamboojunction.core.table.rows import Row
 from bamboojunction.node.contexts import RunningCall, RunningCalls
@@ -29,7 +39,6 @@
     __slots__ = (
         "_admission",
         "_client",
-        "_fingerprint_by_ticket",
         "_guard",
         "_holder",
         "_ids",
@@ -37,7 +46,8 @@
         "_running",
         "_timer",
         "_waiting_by_ticket",
-        "on_ban",
+        "is_quarantine",
+        "on_findings",
     )
 
     def __init__(
@@ -56,23 +66,52 @@
         self._ids = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._waiting_by_ticket: dict[int, asyncio.Future] = {}
-        self._fingerprint_by_ticket: dict[int, int] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self.on_ban = lambda ban: None
+        self.is_quarantine: Callable[[int], bool] = lambda fingerprint: True
+        self.on_findings: Callable[[list[Finding]], None] = lambda findings: None
 
     async def serve(self, call: Call) -> GateReply:
         """Admit a call, run it at the upstream and return its reply."""
-        now = self._loop.time()
         fingerprint = fingerprint_of(call.kind, call.method, call.path, call.body)
-        if self._guard.is_banned(fingerprint, now):
-            return self._refused(call, NotRun(NotRunReason.POISONED))
+        admitted = await self._admit_fingerprint(call, fingerprint)
+        if isinstance(admitted, NotRun):
+            return self._refused(call, admitted)
+        alone = isinstance(admitted, RunAlone)
+        try:
+            return await self._serve_admitted(call, fingerprint, alone)
+        finally:
+            if alone:
+                self._guard.released(fingerprint)
+
+    async def _admit_fingerprint(self, call: Call, fingerprint: int) -> RunAlone | NotRun | None:
+        """Wait while the call's request is held as a suspect; None means that it is none."""
+        while True:
+            now = self._loop.time()
+            verdict = self._guard.admit(fingerprint, self.is_quarantine(fingerprint), now)
+            match verdict:
+                case RefuseSuspect(outcome=outcome):
+                    return outcome
+                case HoldSuspect(seconds=seconds):
+                    if now + seconds >= call.deadline:
+                        return NotRun(NotRunReason.QUARANTINED, retry_after=seconds)
+                    await asyncio.sleep(seconds)
+                case RunAlone():
+                    return verdict
+                case _:
+                    return None
+
+    async def _serve_admitted(self, call: Call, fingerprint: int, alone: bool) -> GateReply:
         ticket = self._ticket(call, self._holder.row(call.kind))
-        refusal = await self._wait_for_slot(ticket, now)
+        refusal = await self._wait_for_slot(ticket, self._loop.time())
         if refusal is not None:
             return self._refused(call, refusal)
-        if self._loop.time() >= call.deadline:
+        now = self._loop.time()
+        refusal = self._guard.recheck(fingerprint, alone, now)
+        if now >= call.deadline:
+            refusal = NotRun(NotRunReason.DEADLINE)
+        if refusal is not None:
             self._finish(ticket.ticket_id, ServiceEnd.CANCELLED, 0.0)
-            return self._refused(call, NotRun(NotRunReason.DEADLINE))
+            return self._refused(call, refusal)
         return await self._run(ticket, call, fingerprint)
 
     def drain(self) -> None:
@@ -118,16 +157,18 @@
 
     async def _run(self, ticket: Ticket, call: Call, fingerprint: int) -> GateReply:
         running = self._running.start(call)
-        self._fingerprint_by_ticket[ticket.ticket_id] = fingerprint
+        self._guard.started(ticket.ticket_id, fingerprint, self._loop.time())
         end = ServiceEnd.CANCELLED
+        outcome: Outcome | None = None
         seconds = 0.0
         try:
             reply = await self._client.send(call, self._upstream_headers(running))
             end = reply.end
+            outcome = reply.outcome
             seconds = reply.seconds
         finally:
             left = self._running.end(running)
-            self._note_crash(end, ticket.ticket_id)
+            self._note_end(ticket.ticket_id, outcome)
             self._finish(ticket.ticket_id, end, seconds)
         return self._replied(reply, left)
 
@@ -145,12 +186,19 @@
             headers.append(("traceparent", call.traceparent))
         return headers
 
-    def _note_crash(self, end: ServiceEnd, ticket_id: int) -> None:
-        fingerprint = self._fingerprint_by_ticket.pop(ticket_id)
-        if end is not ServiceEnd.CRASHED:
-            return
-        for ban in self._guard.crashed([fingerprint], self._loop.time()):
-            self.on_ban(ban)
+    def _note_end(self, ticket_id: int, outcome: Outcome | None) -> None:
+        """Tell the guard what the end shows: an answer, a connection that broke, or nothing."""
+        now = self._loop.time()
+        findings: list[Finding] = []
+        match outcome:
+            case Ran():
+                findings = self._guard.completed(ticket_id, now)
+            case Unknown(reason=UnknownReason.LOST_UPSTREAM | UnknownReason.TRUNCATED):
+                findings = self._guard.crashed(ticket_id, now)
+            case _:
+                self._guard.abandoned(ticket_id)
+        if findings:
+            self.on_findings(findings)
 
     def _finish(self, ticket_id: int, end: ServiceEnd, seconds: float) -> None:
         self._carry_out(self._admission.finish(ticket_id, end, seconds, self._loop.time()))
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -131,6 +131,21 @@
     remaining: float
 
 
+class PoisonSuspicions(Message, tag=20):
+    """Tell of requests in flight at a crash; each may run again, alone, after its hold."""
+
+    crash: str
+    remaining: float
+    fingerprints: list[int]
+    holds: list[float]
+
+
+class PoisonClearance(Message, tag=21):
+    """Tell that a suspected request is innocent."""
+
+    fingerprint: int
+
+
 class Heartbeat(Message, tag=8):
     """Show that the sender lives; the receiver sends it back with ``echo`` set."""
 
@@ -162,6 +177,8 @@
     | TableUpdate
     | Digest
     | PoisonBan
+    | PoisonSuspicions
+    | PoisonClearance
     | Heartbeat
     | Seal
     | SealAnswer
--- /dev/null
+++ b/tests/poison/test_guard.py
@@ -0,0 +1,206 @@
+import unittest
+
+from bamboojunction.core.outcomes import NotRunReason
+from bamboojunction.core.poison.decisions import (
+    Ban,
+    Clearance,
+    HoldSuspect,
+    RefuseSuspect,
+    RunAlone,
+    RunFreely,
+    Suspicion,
+)
+from bamboojunction.core.poison.fingerprints import fingerprint_of
+from bamboojunction.core.poison.guard import (
+    BAN_SECONDS,
+    COMPLETED_MAX,
+    SUSPICION_SECONDS,
+    PoisonGuard,
+)
+from bamboojunction.core.poison.quarantine import quarantine_instance
+
+POISON = 666
+
+
+class Fleet:
+    """Connect the guards of a service, whose findings reach the others at once."""
+
+    def __init__(self, *names: str):
+        self.by_name = {name: PoisonGuard(name) for name in names}
+        self._next_ticket = 0
+
+    def start(self, name: str, fingerprint: int, now: float) -> int:
+        self._next_ticket += 1
+        self.by_name[name].started(self._next_ticket, fingerprint, now)
+        return self._next_ticket
+
+    def crash(self, name: str, tickets: list[int], now: float) -> None:
+        for ticket in tickets:
+            self.spread(name, self.by_name[name].crashed(ticket, now), now)
+
+    def complete(self, name: str, ticket: int, now: float) -> None:
+        self.spread(name, self.by_name[name].completed(ticket, now), now)
+
+    def spread(self, origin: str, findings: list, now: float) -> None:
+        for finding in findings:
+            for name, guard in self.by_name.items():
+                if name != origin:
+                    self.spread(name, guard.learn(finding, now), now)
+
+    def crash_with(self, name: str, fingerprints: list[int], start: float, now: float) -> None:
+        tickets = [self.start(name, fingerprint, start) for fingerprint in fingerprints]
+        self.crash(name, tickets, now)
+
+    def banned(self, now: float) -> set[int]:
+        known = range(1, 1000)
+        per_guard = [
+            {fingerprint for fingerprint in known if guard.is_banned(fingerprint, now)}
+            for guard in self.by_name.values()
+        ]
+        if any(bans != per_guard[0] for bans in per_guard):
+            raise AssertionError(f"the nodes disagree: {per_guard}")
+        return per_guard[0]
+
+
+class BanTests(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet("a", "b", "c")
+
+    def test_two_crashes_at_different_nodes_ban_everywhere(self):
+        self.fleet.crash_with("a", [POISON, 1, 2], 0.0, 0.1)
+        self.assertEqual(set(), self.fleet.banned(0.1))
+        self.fleet.crash_with("b", [POISON, 3, 4], 0.2, 0.3)
+        self.assertEqual({POISON}, self.fleet.banned(0.3))
+
+    def test_a_ban_ends(self):
+        self.fleet.crash_with("a", [POISON], 0.0, 0.1)
+        self.fleet.crash_with("a", [POISON], 2.0, 2.1)
+        self.assertEqual({POISON}, self.fleet.banned(2.1 + BAN_SECONDS - 1))
+        self.assertEqual(set(), self.fleet.banned(2.1 + BAN_SECONDS))
+
+    def test_connections_that_break_one_after_the_other_are_one_crash(self):
+        self.fleet.crash_with("a", [POISON, POISON, POISON], 0.0, 0.1)
+        self.assertEqual(set(), self.fleet.banned(0.1))
+
+    def test_a_suspicion_that_is_told_twice_counts_once(self):
+        suspicion = Suspicion(POISON, "a/1", 1.0, 60.0)
+        guard = PoisonGuard("b")
+        for _ in range(3):
+            guard.learn(suspicion, 0.0)
+        self.assertFalse(guard.is_banned(POISON, 0.0))
+
+    def test_a_suspicion_from_a_third_node_completes_the_evidence(self):
+        guard = PoisonGuard("c")
+        guard.learn(Suspicion(POISON, "a/1", 1.0, 60.0), 0.0)
+        findings = guard.learn(Suspicion(POISON, "b/1", 1.0, 60.0), 0.0)
+        self.assertIn(POISON, [f.fingerprint for f in findings if isinstance(f, Ban)])
+
+
+class BystanderTests(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet("a", "b", "c")
+
+    def test_a_request_that_ran_to_its_end_is_no_suspect(self):
+        self.fleet.complete("a", self.fleet.start("a", 1, 0.0), 0.1)
+        for name in ("a", "b"):
+            self.fleet.crash_with(name, [POISON, 1], 0.2, 0.3)
+        self.assertEqual({POISON}, self.fleet.banned(0.3))
+        self.assertFalse(self.fleet.by_name["c"].is_suspect(1, 0.3))
+
+    def test_a_node_where_it_ran_clears_it_for_all(self):
+        self.fleet.complete("b", self.fleet.start("b", 1, 0.0), 0.1)
+        self.fleet.crash_with("a", [POISON, 1], 0.2, 0.3)
+        for guard in self.fleet.by_name.values():
+            self.assertFalse(guard.is_suspect(1, 0.3))
+            self.assertTrue(guard.is_suspect(POISON, 0.3))
+
+    def test_the_run_that_was_alone_takes_the_blame(self):
+        self.fleet.crash_with("a", [POISON, 1], 0.0, 0.1)
+        guard = self.fleet.by_name["b"]
+        self.assertEqual(RunAlone(), guard.admit(POISON, True, 1.0))
+        innocent = self.fleet.start("b", 1, 0.05)
+        suspect = self.fleet.start("b", POISON, 1.0)
+        self.fleet.crash("b", [innocent, suspect], 1.1)
+        self.assertEqual({POISON}, self.fleet.banned(1.1))
+
+    def test_a_ban_clears_those_that_its_crashes_explain(self):
+        self.fleet.crash_with("a", [POISON, 1, 2], 0.0, 0.1)
+        self.fleet.crash_with("b", [POISON, 3], 0.2, 0.3)
+        for fingerprint in (1, 2, 3):
+            for guard in self.fleet.by_name.values():
+                self.assertFalse(guard.is_suspect(fingerprint, 0.3))
+
+
+class QuarantineTests(unittest.TestCase):
+    def setUp(self):
+        self.guard = PoisonGuard("a")
+        self.guard.started(1, POISON, 0.0)
+        self.guard.started(2, 7, 0.0)
+        self.guard.crashed(1, 0.4)
+        self.guard.crashed(2, 0.4)
+
+    def test_others_run_freely(self):
+        self.assertEqual(RunFreely(), self.guard.admit(5, False, 0.5))
+
+    def test_a_suspect_waits_until_copies_elsewhere_have_shown_themselves(self):
+        held = self.guard.admit(POISON, True, 0.5)
+        self.assertIsInstance(held, HoldSuspect)
+        self.assertGreaterEqual(0.5 + held.seconds, 0.8)
+        self.assertEqual(RunAlone(), self.guard.admit(POISON, True, 0.5 + held.seconds))
+
+    def test_only_one_suspect_runs_at_a_time(self):
+        self.assertEqual(RunAlone(), self.guard.admit(POISON, True, 2.0))
+        self.assertIsInstance(self.guard.admit(7, True, 2.0), HoldSuspect)
+        self.assertIsInstance(self.guard.admit(POISON, True, 2.0), HoldSuspect)
+        self.guard.started(3, POISON, 2.0)
+        self.assertEqual([Clearance(POISON)], self.guard.completed(3, 2.1))
+        self.assertEqual(RunAlone(), self.guard.admit(7, True, 2.1))
+
+    def test_a_suspect_that_never_started_makes_room(self):
+        self.guard.admit(POISON, True, 2.0)
+        self.guard.released(POISON)
+        self.assertEqual(RunAlone(), self.guard.admit(7, True, 2.0))
+
+    def test_other_instances_refuse_a_suspect(self):
+        refused = self.guard.admit(POISON, False, 2.0)
+        self.assertIsInstance(refused, RefuseSuspect)
+        self.assertEqual(NotRunReason.QUARANTINED, refused.outcome.reason)
+
+    def test_suspicion_ends(self):
+        self.assertEqual(RunFreely(), self.guard.admit(POISON, False, 2.0 + SUSPICION_SECONDS))
+
+    def test_a_second_crash_bans(self):
+        self.guard.admit(POISON, True, 2.0)
+        self.guard.started(3, POISON, 2.0)
+        self.guard.crashed(3, 2.1)
+        refused = self.guard.admit(POISON, True, 2.2)
+        self.assertEqual(NotRunReason.POISONED, refused.outcome.reason)
+
+    def test_nodes_agree_on_the_instance_whatever_the_order(self):
+        names = [f"instance-{number}" for number in range(7)]
+        for fingerprint in range(50):
+            chosen = quarantine_instance(fingerprint, names)
+            self.assertEqual(chosen, quarantine_instance(fingerprint, reversed(names)))
+
+    def test_suspects_spread_over_the_instances(self):
+        names = [f"instance-{number}" for number in range(4)]
+        self.assertEqual(set(names), {quarantine_instance(f, names) for f in range(100)})
+
+
+class MemoryTests(unittest.TestCase):
+    def test_memory_is_bounded(self):
+        guard = PoisonGuard("a")
+        for number in range(COMPLETED_MAX + 50):
+            guard.started(number, number, 0.0)
+            guard.completed(number, 0.0)
+        self.assertEqual(COMPLETED_MAX, len(guard._completed_at_by_fingerprint))
+
+
+class FingerprintTests(unittest.TestCase):
+    def test_parts_do_not_run_into_each_other(self):
+        prints = {
+            fingerprint_of("read", "GET", "/a", b""),
+            fingerprint_of("read", "GET", "/", b"a"),
+            fingerprint_of("readG", "ET", "/a", b""),
+        }
+        self.assertEqual(3, len(prints))
