--- a/bamboojunction/core/retries/policy.py
+++ b/bamboojunction/core/retries/policy.py
@@ -1,21 +1,31 @@
 """The decision whether an attempt is followed by another."""
 
+import random
 from dataclasses import dataclass
 
-from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Ran, Unknown
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Ran, Unknown, UnknownReason
+from bamboojunction.core.retries.budget import RetryBudget
 from bamboojunction.core.table.rows import Effect, Row
 
-# Refusals that another attempt elsewhere cannot change.
+# Refusals that another attempt cannot change, or that ask for no more attempts.
 FINAL_REASONS = frozenset(
     {
-        NotRunReason.DEADLINE,
-        NotRunReason.POISONED,
+        NotRunReason.BUDGET,
         NotRunReason.CANCELLED,
-        NotRunReason.KEY_REQUIRED,
+        NotRunReason.DEADLINE,
         NotRunReason.KEY_INVALID,
+        NotRunReason.KEY_REQUIRED,
+        NotRunReason.POISONED,
+        NotRunReason.SHED_AT_EDGE,
         NotRunReason.TOO_LARGE,
     }
 )
+# The caller went away or has no time left.
+FINAL_UNKNOWN_REASONS = frozenset({UnknownReason.CANCELLED, UnknownReason.DEADLINE})
+SERVER_ERROR_STATUS = 500
+# A retry waits as long as it was told and up to half as long again, at least a random part of this.
+DELAY_JITTER = 0.5
+DELAY_MIN_SECONDS = 0.02
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,33 +44,42 @@
 
 
 class RetryPolicy:
-    """Decide on retries for one service, from the allowance and the retry budget.
-
-    The budget is a ratio: successes deposit part of a retry, each retry withdraws a whole one.
-    """
+    """Decide on retries for one service, from the allowance and the retry budget."""
 
-    __slots__ = ("_tokens",)
+    __slots__ = ("_budget", "_random")
 
-    DEPOSIT_PER_SUCCESS = 0.1
-    TOKENS_MAX = 10.0
-
-    def __init__(self):
-        self._tokens = self.TOKENS_MAX
+    def __init__(self, rng: random.Random | None = None):
+        self._random = rng or random.Random()
+        self._budget = RetryBudget(self._random)
 
     def decide(
         self, row: Row, outcome: Outcome, allowance: int, deadline: float, now: float
     ) -> RetryDecision:
-        """Choose between another attempt and giving up."""
-        match outcome:
-            case Ran(status=status) if status < 500:
-                self._tokens = min(self.TOKENS_MAX, self._tokens + self.DEPOSIT_PER_SUCCESS)
-                return GiveUp()
-            case NotRun(reason=reason) if reason in FINAL_REASONS:
-                return GiveUp()
-            case Ran() | Unknown() if row.effect is Effect.ONCE:
-                return GiveUp()
-        delay = outcome.retry_after if isinstance(outcome, NotRun) else 0.0
-        if allowance < 1 or self._tokens < 1 or now + delay >= deadline:
+        """Choose between another attempt and giving up.
+
+        A refusal costs as much of the allowance as a failure.
+        """
+        if isinstance(outcome, Ran) and outcome.status < SERVER_ERROR_STATUS:
+            self._budget.succeeded(now)
+            return GiveUp()
+        if allowance < 1 or not may_run_again(row, outcome):
+            return GiveUp()
+        delay = self._delay(outcome)
+        if now + delay >= deadline or not self._budget.spend(now):
             return GiveUp()
-        self._tokens -= 1
         return RetryAfter(delay)
+
+    def _delay(self, outcome: Outcome) -> float:
+        told = outcome.retry_after if isinstance(outcome, NotRun) else 0.0
+        spread = max(told * DELAY_JITTER, DELAY_MIN_SECONDS)
+        return told + spread * self._random.random()
+
+
+def may_run_again(row: Row, outcome: Outcome) -> bool:
+    """Return whether the effect of the kind allows another attempt after this outcome."""
+    match outcome:
+        case NotRun(reason=reason):
+            return reason not in FINAL_REASONS
+        case Unknown(reason=reason) if reason in FINAL_UNKNOWN_REASONS:
+            return False
+    return row.effect is Effect.IDEMPOTENT
