--- /dev/null
+++ b/tests/routing/builders.py
@@ -0,0 +1,54 @@
+"""Builders of announcements, requests and ends for the routing tests."""
+
+from bamboojunction.core.load import LoadReport
+from bamboojunction.core.membership.view import Announcement
+from bamboojunction.core.outcomes import Outcome, Ran
+from bamboojunction.core.routing.router import AttemptEnd, Chosen, Router, RouteRequest
+
+SERVICE = "bayfinder"
+
+
+def announcement(number: int, data_centre: str = "near", incarnation: str = "1") -> Announcement:
+    return Announcement(
+        instance=f"{SERVICE}-{number}",
+        incarnation=incarnation,
+        service=SERVICE,
+        data_centre=data_centre,
+        region="region",
+        address=f"127.0.0.1:{number + 1}",
+        started_at=0.0,
+    )
+
+
+def request(**changes) -> RouteRequest:
+    fields = {"service": SERVICE, "kind": "read", "rank": 1, "action": "a", "deadline": 1e9}
+    return RouteRequest(**(fields | changes))
+
+
+def report(queued: int = 0, in_flight: int = 0, limit: int = 10, draining: bool = False):
+    return LoadReport(queued=queued, in_flight=in_flight, limit=limit, draining=draining)
+
+
+def end(
+    instance: str,
+    outcome: Outcome | None = None,
+    load: LoadReport | None = None,
+    seconds: float = 0.05,
+    kind: str = "read",
+) -> AttemptEnd:
+    return AttemptEnd(instance, kind, outcome or Ran(200), load, seconds, seconds + 0.001)
+
+
+def attempt(router: Router, now: float, outcome: Outcome | None = None, **changes) -> str:
+    """Run one attempt that ends at once and return its instance."""
+    chosen = router.choose(request(**changes), now)
+    assert isinstance(chosen, Chosen)
+    router.sent(chosen.instance, "read", now)
+    router.ended(end(chosen.instance, outcome, report()), now)
+    return chosen.instance
+
+
+def teach(router: Router, instance: str, now: float, load: LoadReport, **times) -> None:
+    """Let an instance answer one call with a load report."""
+    router.sent(instance, times.get("kind", "read"), now)
+    router.ended(end(instance, None, load, **times), now)
--- /dev/null
+++ b/tests/routing/test_choice.py
@@ -0,0 +1,134 @@
+import random
+import unittest
+from collections import Counter
+
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from bamboojunction.core.routing.router import Chosen, Router
+from tests.routing.builders import SERVICE, announcement, end, report, request, teach
+
+
+def new_router(centres: list[str]) -> Router:
+    router = Router("near", "region", random.Random(1))
+    router.update(SERVICE, [announcement(n, centre) for n, centre in enumerate(centres)])
+    return router
+
+
+def chosen_counts(router: Router, count: int, now: float, **changes) -> Counter:
+    return Counter(router.choose(request(**changes), now).instance for _ in range(count))
+
+
+class LeastExpectedCompletionTests(unittest.TestCase):
+    def test_chooses_the_upstream_that_runs_this_kind_fastest(self):
+        router = new_router(["near", "near"])
+        for kind, seconds in (("read", (0.1, 0.4)), ("write", (0.4, 0.1))):
+            for number, time in enumerate(seconds):
+                teach(router, f"{SERVICE}-{number}", 0.0, report(), kind=kind, seconds=time)
+        self.assertEqual({f"{SERVICE}-0"}, set(chosen_counts(router, 20, 0.0, kind="read")))
+        self.assertEqual({f"{SERVICE}-1"}, set(chosen_counts(router, 20, 0.0, kind="write")))
+
+    def test_counts_work_per_slot_not_work(self):
+        router = new_router(["near", "near"])
+        teach(router, f"{SERVICE}-0", 0.0, report(in_flight=8, limit=8))
+        teach(router, f"{SERVICE}-1", 0.0, report(in_flight=10, limit=80))
+        self.assertEqual({f"{SERVICE}-1"}, set(chosen_counts(router, 20, 0.0)))
+
+    def test_own_attempts_since_the_report_count(self):
+        router = new_router(["near", "near"])
+        for number in range(2):
+            teach(router, f"{SERVICE}-{number}", 0.0, report(limit=10))
+        counts = Counter()
+        for _ in range(20):
+            instance = router.choose(request(), 0.0).instance
+            router.sent(instance, "read", 0.0)
+            counts[instance] += 1
+        self.assertEqual([10, 10], sorted(counts.values()))
+
+    def test_stale_reports_fade(self):
+        router = new_router(["near", "near"])
+        teach(router, f"{SERVICE}-0", 0.0, report(queued=30))
+        teach(router, f"{SERVICE}-1", 0.0, report(queued=20))
+        self.assertEqual({f"{SERVICE}-1"}, set(chosen_counts(router, 20, 0.0)))
+        teach(router, f"{SERVICE}-1", 60.0, report(queued=20))
+        self.assertEqual({f"{SERVICE}-0"}, set(chosen_counts(router, 20, 60.0)))
+
+    def test_a_slow_measurement_does_not_shut_an_upstream_out_for_good(self):
+        router = new_router(["near", "near"])
+        teach(router, f"{SERVICE}-0", 0.0, report(), seconds=2.0)
+        for second in range(200):
+            teach(router, f"{SERVICE}-1", float(second), report(in_flight=9), seconds=0.1)
+        self.assertIn(f"{SERVICE}-0", chosen_counts(router, 5, 200.0))
+
+    def test_unknown_upstreams_take_one_call_until_they_answer(self):
+        router = new_router(["near", "near", "near"])
+        teach(router, f"{SERVICE}-0", 0.0, report())
+        counts = Counter()
+        for _ in range(100):
+            instance = router.choose(request(), 0.0).instance
+            router.sent(instance, "read", 0.0)
+            counts[instance] += 1
+        self.assertEqual(1, counts[f"{SERVICE}-1"])
+        self.assertEqual(1, counts[f"{SERVICE}-2"])
+
+    def test_fast_failures_do_not_attract_calls(self):
+        router = new_router(["near", "near"])
+        teach(router, f"{SERVICE}-0", 0.0, report(), seconds=0.1)
+        teach(router, f"{SERVICE}-1", 0.0, report(), seconds=0.2)
+        refusal = NotRun(NotRunReason.SHED)
+        router.sent(f"{SERVICE}-1", "read", 0.0)
+        router.ended(end(f"{SERVICE}-1", refusal, report(), seconds=0.0), 0.0)
+        self.assertEqual({f"{SERVICE}-0"}, set(chosen_counts(router, 20, 0.0)))
+
+    def test_a_timeout_raises_the_estimate(self):
+        router = new_router(["near", "near"])
+        for number in range(2):
+            teach(router, f"{SERVICE}-{number}", 0.0, report(), seconds=0.1)
+        router.sent(f"{SERVICE}-0", "read", 0.0)
+        timeout = Unknown(UnknownReason.DEADLINE)
+        router.ended(end(f"{SERVICE}-0", timeout, seconds=1.0), 0.0)
+        self.assertEqual({f"{SERVICE}-1"}, set(chosen_counts(router, 20, 0.0)))
+
+    def test_tried_instances_are_left_out_while_there_are_others(self):
+        router = new_router(["near", "near"])
+        first = frozenset({f"{SERVICE}-0"})
+        self.assertEqual({f"{SERVICE}-1"}, set(chosen_counts(router, 20, 0.0, excluded=first)))
+        both = first | {f"{SERVICE}-1"}
+        self.assertIsInstance(router.choose(request(excluded=both), 0.0), Chosen)
+
+    def test_a_service_without_upstreams_is_refused(self):
+        refusal = new_router([]).choose(request(), 0.0)
+        self.assertEqual(NotRunReason.NO_UPSTREAM, refusal.reason)
+        self.assertGreater(refusal.retry_after, 0)
+
+
+class SpillTests(unittest.TestCase):
+    def test_calls_stay_in_their_data_centre_while_it_is_well(self):
+        router = new_router(["near", "far"])
+        teach(router, f"{SERVICE}-0", 0.0, report(in_flight=5), seconds=0.05)
+        teach(router, f"{SERVICE}-1", 0.0, report(in_flight=3), seconds=0.05)
+        self.assertEqual({f"{SERVICE}-0"}, set(chosen_counts(router, 20, 0.0)))
+
+    def test_calls_spill_when_the_estimate_says_so(self):
+        router = new_router(["near", "far"])
+        teach(router, f"{SERVICE}-0", 0.0, report(queued=40), seconds=0.05)
+        teach(router, f"{SERVICE}-1", 0.0, report(in_flight=1), seconds=0.05)
+        self.assertEqual({f"{SERVICE}-1"}, set(chosen_counts(router, 20, 0.0)))
+
+    def test_calls_go_far_when_nothing_is_near(self):
+        self.assertEqual({f"{SERVICE}-0"}, set(chosen_counts(new_router(["far"]), 5, 0.0)))
+
+
+class MembershipTests(unittest.TestCase):
+    def test_a_late_end_of_a_removed_instance_is_ignored(self):
+        router = new_router(["near", "near"])
+        router.sent(f"{SERVICE}-0", "read", 0.0)
+        router.update(SERVICE, [announcement(1)])
+        router.ended(end(f"{SERVICE}-0"), 0.1)
+        self.assertEqual({f"{SERVICE}-1"}, set(chosen_counts(router, 5, 0.1)))
+
+    def test_every_instance_is_reached_after_many_changes(self):
+        router = new_router(["near"] * 9)
+        for round_number in range(20):
+            kept = [announcement(n) for n in range(9) if (n + round_number) % 3]
+            router.update(SERVICE, kept)
+        router.update(SERVICE, [announcement(n) for n in range(9)])
+        self.assertEqual(9, len(chosen_counts(router, 400, 0.0)))
