Sent suspects to the instance that may run them

A call whose upstream crashed was retried anywhere. Its next attempt now goes to the quarantine instance, which is never one that the suspect crashed while there is another; the suspicion therefore names the instance. Calls that must not be lost leave the probing of ejected upstreams to idempotent ones.

--- a/bamboojunction/core/poison/decisions.py
+++ b/bamboojunction/core/poison/decisions.py
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Suspicion:
-    """Tell of a request that was in flight at a crash.
+    """Tell of a request that was in flight when the upstream of ``instance`` crashed.
 
     ``crash`` is unique to the crash, so that one that is told twice counts once. The request may
     run again, alone, from ``hold_until`` on, and is forgotten at ``until``; both are in seconds on
@@ -23,6 +23,7 @@
     """
 
     fingerprint: int
+    instance: str
     crash: str
     hold_until: float
     until: float
--- a/bamboojunction/core/poison/fingerprints.py
+++ b/bamboojunction/core/poison/fingerprints.py
@@ -2,6 +2,9 @@
 
 import xxhash
 
+from bamboojunction.core.calls import Call
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+
 
 def fingerprint_of(kind: str, method: str, path: str, body: bytes) -> int:
     """Return the fingerprint of a request: the same request has the same one at every node."""
@@ -11,3 +14,13 @@
         digest.update(part)
     digest.update(body)
     return digest.intdigest()
+
+
+def suspect_after(call: Call, outcome: Outcome) -> int | None:
+    """Return the fingerprint of a call that its next attempt must treat as a suspect."""
+    match outcome:
+        case Unknown(reason=UnknownReason.LOST_UPSTREAM | UnknownReason.TRUNCATED):
+            return fingerprint_of(call.kind, call.method, call.path, call.body)
+        case NotRun(reason=NotRunReason.QUARANTINED):
+            return fingerprint_of(call.kind, call.method, call.path, call.body)
+    return None
--- a/bamboojunction/core/poison/guard.py
+++ b/bamboojunction/core/poison/guard.py
@@ -45,6 +45,7 @@
     hold_until: float
     until: float
     crashes: set[str] = field(default_factory=set)
+    instances: set[str] = field(default_factory=set)
 
 
 class PoisonGuard:
@@ -64,13 +65,15 @@
         "_crash_at",
         "_crash_name",
         "_crash_numbers",
+        "_incarnation",
         "_instance",
         "_runs_by_ticket",
         "_suspects_by_fingerprint",
     )
 
-    def __init__(self, instance: str = ""):
+    def __init__(self, instance: str = "", incarnation: str = ""):
         self._instance = instance
+        self._incarnation = incarnation
         self._crash_numbers = itertools.count(1)
         self._crash_name = ""
         self._crash_at = float("-inf")
@@ -141,7 +144,7 @@
             self._end(ticket_id)
             return []
         self._crash_at = now
-        self._crash_name = f"{self._instance}/{next(self._crash_numbers)}"
+        self._crash_name = f"{self._instance}/{self._incarnation}/{next(self._crash_numbers)}"
         runs = list(self._runs_by_ticket.values())
         self._end(ticket_id)
         suspicions = [suspicion for run in runs if (suspicion := self._suspicion(run, now))]
@@ -185,6 +188,11 @@
         """Return whether a request may run only alone."""
         return self._suspect(fingerprint, now) is not None
 
+    def crashed_instances(self, fingerprint: int) -> set[str]:
+        """Return the instances at whose crashes a suspect was in flight."""
+        suspect = self._suspects_by_fingerprint.get(fingerprint)
+        return set() if suspect is None else suspect.instances
+
     def bans(self, now: float) -> list[Ban]:
         """Return the bans in force, for a node that has just joined."""
         return [ban for ban in self._bans_by_fingerprint.values() if ban.until > now]
@@ -209,7 +217,7 @@
         # Copies that started elsewhere before the crash show by then whether they crash too.
         hold_until = now + (now - run.started_at) + HOLD_MARGIN_SECONDS
         until = hold_until + SUSPICION_SECONDS
-        return Suspicion(run.fingerprint, self._crash_name, hold_until, until)
+        return Suspicion(run.fingerprint, self._instance, self._crash_name, hold_until, until)
 
     def _add(self, suspicion: Suspicion) -> _Suspect:
         suspects = self._suspects_by_fingerprint
@@ -220,6 +228,7 @@
                 suspicion.hold_until, suspicion.until
             )
         suspect.crashes.add(suspicion.crash)
+        suspect.instances.add(suspicion.instance)
         suspect.hold_until = max(suspect.hold_until, suspicion.hold_until)
         suspect.until = max(suspect.until, suspicion.until)
         return suspect
--- a/bamboojunction/core/routing/router.py
+++ b/bamboojunction/core/routing/router.py
@@ -163,11 +163,10 @@
         service = self._service_by_instance.get(instance)
         return None if service is None else self._by_service[service].by_instance[instance]
 
-    def _quarantined(self, upstreams: ServiceUpstreams, request: RouteRequest) -> Chosen | NotRun:
-        """Send a suspect to the one instance that may run it."""
-        names = [name for name in upstreams.by_instance if name not in upstreams.out]
-        instance = quarantine_instance(request.suspect, names or list(upstreams.by_instance))
-        return Chosen(instance)
+    def _quarantined(self, upstreams: ServiceUpstreams, request: RouteRequest) -> Chosen:
+        """Send a suspect to the one instance that may run it, as far as this node knows."""
+        instances = upstreams.by_instance
+        return Chosen(quarantine_instance(request.suspect, instances, request.excluded))
 
     def _probe(
         self, upstreams: ServiceUpstreams, request: RouteRequest, now: float
--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -12,9 +12,10 @@
     Unknown,
     UnknownReason,
 )
+from bamboojunction.core.poison.fingerprints import suspect_after
 from bamboojunction.core.retries.policy import GiveUp, RetryAfter, RetryPolicy
 from bamboojunction.core.routing.router import AttemptEnd, Chosen, Router, RouteRequest
-from bamboojunction.core.table.rows import Row
+from bamboojunction.core.table.rows import Effect, Row
 from bamboojunction.node.serving import GateService
 from bamboojunction.nodes.convert import answer_to_reply, call_to_request
 from bamboojunction.nodes.links import LinkFailure, LinkPool
@@ -46,9 +47,10 @@
     async def route(self, call: Call, row: Row) -> Outcome:
         """Attempt a call until it is settled or may not be tried again."""
         excluded: frozenset[str] = frozenset()
+        suspect: int | None = None
         policy = self._policies.setdefault(call.service, RetryPolicy())
         while True:
-            outcome, instance = await self._attempt(call, row, excluded)
+            outcome, instance = await self._attempt(call, row, excluded, suspect)
             now = self._loop.time()
             decision = policy.decide(row, outcome, outcome.allowance_left, call.deadline, now)
             match decision:
@@ -57,6 +59,7 @@
                 case RetryAfter(delay=delay):
                     call.allowance = outcome.allowance_left - 1
                     excluded = excluded | {instance} if instance else excluded
+                    suspect = suspect_after(call, outcome) or suspect
                     await asyncio.sleep(delay)
 
     async def send_to_gate(self, instance: str, call: Call) -> GateReply:
@@ -87,11 +90,19 @@
         return answer_to_reply(answer)
 
     async def _attempt(
-        self, call: Call, row: Row, excluded: frozenset[str]
+        self, call: Call, row: Row, excluded: frozenset[str], suspect: int | None
     ) -> tuple[Outcome, str | None]:
         now = self._loop.time()
         request = RouteRequest(
-            call.service, call.kind, row.rank, call.action, call.deadline, call.depth, excluded
+            call.service,
+            call.kind,
+            row.rank,
+            call.action,
+            call.deadline,
+            call.depth,
+            excluded,
+            idempotent=row.effect is Effect.IDEMPOTENT,
+            suspect=suspect,
         )
         match self._router.choose(request, now):
             case Chosen(instance=instance):
--- a/bamboojunction/node/poison.py
+++ b/bamboojunction/node/poison.py
@@ -41,7 +41,9 @@
     def is_quarantine(self, fingerprint: int) -> bool:
         """Return whether a suspect may run at this node's upstream."""
         names = {entry.instance for entry in self._view.serving(self._service)}
-        return quarantine_instance(fingerprint, names | {self._instance}) == self._instance
+        names.add(self._instance)
+        avoided = self._guard.crashed_instances(fingerprint)
+        return quarantine_instance(fingerprint, names, avoided) == self._instance
 
     def tell(self, findings: list[Finding]) -> None:
         """Send findings to every other node of the service."""
@@ -75,6 +77,7 @@
         members = list(group)
         messages.append(
             PoisonSuspicions(
+                members[0].instance,
                 crash,
                 max(member.until for member in members) - now,
                 [member.fingerprint for member in members],
@@ -93,7 +96,13 @@
             return [Clearance(fingerprint)]
         case PoisonSuspicions():
             return [
-                Suspicion(fingerprint, message.crash, now + hold, now + message.remaining)
+                Suspicion(
+                    fingerprint,
+                    message.instance,
+                    message.crash,
+                    now + hold,
+                    now + message.remaining,
+                )
                 for fingerprint, hold in zip(message.fingerprints, message.holds, strict=False)
             ]
     return []
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -63,7 +63,7 @@
         host, _ = split_address(node.link_address)
         self.links = LinkPool(identity, settings.links, host)
         self.upstream = UpstreamClient.from_config(settings.upstream)
-        guard = PoisonGuard(f"{node.instance}/{incarnation}")
+        guard = PoisonGuard(node.instance, incarnation)
         self.gate = GateService(
             Admission.from_config(settings.upstream),
             self.upstream,
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -134,6 +134,7 @@
 class PoisonSuspicions(Message, tag=20):
     """Tell of requests in flight at a crash; each may run again, alone, after its hold."""
 
+    instance: str
     crash: str
     remaining: float
     fingerprints: list[int]
--- a/tests/poison/test_guard.py
+++ b/tests/poison/test_guard.py
@@ -83,7 +83,7 @@
         self.assertEqual(set(), self.fleet.banned(0.1))
 
     def test_a_suspicion_that_is_told_twice_counts_once(self):
-        suspicion = Suspicion(POISON, "a/1", 1.0, 60.0)
+        suspicion = Suspicion(POISON, "a", "a/1", 1.0, 60.0)
         guard = PoisonGuard("b")
         for _ in range(3):
             guard.learn(suspicion, 0.0)
@@ -91,8 +91,8 @@
 
     def test_a_suspicion_from_a_third_node_completes_the_evidence(self):
         guard = PoisonGuard("c")
-        guard.learn(Suspicion(POISON, "a/1", 1.0, 60.0), 0.0)
-        findings = guard.learn(Suspicion(POISON, "b/1", 1.0, 60.0), 0.0)
+        guard.learn(Suspicion(POISON, "a", "a/1", 1.0, 60.0), 0.0)
+        findings = guard.learn(Suspicion(POISON, "b", "b/1", 1.0, 60.0), 0.0)
         self.assertIn(POISON, [f.fingerprint for f in findings if isinstance(f, Ban)])
 
 
@@ -182,6 +182,12 @@
             chosen = quarantine_instance(fingerprint, names)
             self.assertEqual(chosen, quarantine_instance(fingerprint, reversed(names)))
 
+    def test_instances_that_crashed_come_last(self):
+        names = [f"instance-{number}" for number in range(4)]
+        for fingerprint in range(50):
+            self.assertNotEqual(names[0], quarantine_instance(fingerprint, names, {names[0]}))
+            self.assertEqual(names[0], quarantine_instance(fingerprint, names[:1], {names[0]}))
+
     def test_suspects_spread_over_the_instances(self):
         names = [f"instance-{number}" for number in range(4)]
         self.assertEqual(set(names), {quarantine_instance(f, names) for f in range(100)})
