--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -1,7 +1,7 @@
 """The router's task side: sends attempts to gates and repeats them within the allowance."""
 
 import asyncio
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from bamboojunction.core.calls import Call
@@ -13,9 +13,10 @@
     Unknown,
     UnknownReason,
 )
+from bamboojunction.core.poison.fingerprints import suspect_after
 from bamboojunction.core.retries.policy import GiveUp, RetryAfter, RetryPolicy
 from bamboojunction.core.routing.router import AttemptEnd, Chosen, Router, RouteRequest
-from bamboojunction.core.table.rows import Row
+from bamboojunction.core.table.rows import Effect, Row
 from bamboojunction.nodes.convert import answer_to_reply, call_to_request
 from bamboojunction.nodes.links import LinkFailure, LinkPool
 from bamboojunction.nodes.messages import Target
@@ -39,6 +40,21 @@
         """Settle the attempt and return whether the next one may start."""
 
 
+@dataclass(slots=True)
+class _Progress:
+    """Hold what the attempts of one call so far mean for the next."""
+
+    sends: KeyedSends | None
+    excluded: frozenset[str] = frozenset()
+    suspect: int | None = None
+
+    def note(self, call: Call, outcome: Outcome, instance: str | None) -> None:
+        """Learn from an attempt that another one follows."""
+        if instance is not None:
+            self.excluded |= {instance}
+        self.suspect = suspect_after(call, outcome) or self.suspect
+
+
 class CallRouter:
     """Route calls to gates, the one beside this node among them."""
 
@@ -62,10 +78,10 @@
 
     async def route(self, call: Call, row: Row, sends: KeyedSends | None = None) -> Outcome:
         """Attempt a call until it is settled or may not be tried again."""
-        excluded: frozenset[str] = frozenset()
+        progress = _Progress(sends)
         policy = self._policies.setdefault(call.service, RetryPolicy())
         while True:
-            outcome, instance = await self._attempt(call, row, excluded, sends)
+            outcome, instance = await self._attempt(call, row, progress)
             now = self._loop.time()
             decision = policy.decide(row, outcome, outcome.allowance_left, call.deadline, now)
             match decision:
@@ -75,7 +91,7 @@
                     if sends is not None and not sends.may_resend(outcome):
                         return outcome
                     call.allowance = outcome.allowance_left - 1
-                    excluded = excluded | {instance} if instance else excluded
+                    progress.note(call, outcome, instance)
                     await asyncio.sleep(delay)
 
     async def send_to_gate(self, instance: str, call: Call) -> GateReply:
@@ -106,12 +122,21 @@
         return answer_to_reply(answer)
 
     async def _attempt(
-        self, call: Call, row: Row, excluded: frozenset[str], sends: KeyedSends | None
+        self, call: Call, row: Row, progress: _Progress
     ) -> tuple[Outcome, str | None]:
         now = self._loop.time()
         request = RouteRequest(
-            call.service, call.kind, row.rank, call.action, call.deadline, call.depth, excluded
+            call.service,
+            call.kind,
+            row.rank,
+            call.action,
+            call.deadline,
+            call.depth,
+            progress.excluded,
+            idempotent=row.effect is Effect.IDEMPOTENT,
+            suspect=progress.suspect,
         )
+        sends = progress.sends
         match self._router.choose(request, now):
             case Chosen(instance=instance):
                 if sends is not None and not sends.prepare(call, instance):
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -25,6 +25,7 @@
 from bamboojunction.node.contexts import RunningCalls
 from bamboojunction.node.keyed import KeyedCalls
 from bamboojunction.node.keyed_gate import KeyedGate
+from bamboojunction.node.poison import PoisonNews
 from bamboojunction.node.serving import GateService
 from bamboojunction.node.sync import Sync
 from bamboojunction.node.testimony import GateQuestions
@@ -66,13 +67,17 @@
         host, _ = split_address(node.link_address)
         self.links = LinkPool(identity, settings.links, host)
         self.upstream = UpstreamClient.from_config(settings.upstream)
+        guard = PoisonGuard(node.instance, incarnation)
         self.gate = GateService(
             Admission.from_config(settings.upstream),
             self.upstream,
             self.holder,
-            PoisonGuard(),
+            guard,
             self.running,
         )
+        news = PoisonNews(node.instance, node.service, guard, self.view, self.links)
+        self.gate.is_quarantine = news.is_quarantine
+        self.gate.on_findings = news.tell
         gate_id = f"{node.instance}/{incarnation}"
         self.keyed_gate = KeyedGate(self.gate, GateRecords(), gate_id)
         self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.keyed_gate)
