Added the policy bench with its first scenario and the admission level of each rank

The bench drives the decision classes with fakes under a virtual clock. The level of a gate now names a fraction for each rank, as one cut over all ranks cannot keep every rank's share. The fingerprint encodes its text, and a tick drops calls whose deadline has passed, since the bench spun for ever on a due time that never moved.

--- a/bamboojunction/core/admission/gate.py
+++ b/bamboojunction/core/admission/gate.py
@@ -86,9 +86,17 @@
         return self._fill(now)
 
     def finish(
-        self, ticket_id: int, end: ServiceEnd, service_seconds: float, now: float
+        self,
+        ticket_id: int,
+        end: ServiceEnd,
+        service_seconds: float,
+        now: float,
+        below_seconds: float = 0.0,
     ) -> list[Decision]:
-        """Free the slot of a started call and learn from how it ended."""
+        """Free the slot of a started call and learn from how it ended.
+
+        ``below_seconds`` is the part of the service time that the call's own child calls took.
+        """
         self._in_flight.pop(ticket_id, None)
         return self._fill(now)
 
@@ -100,7 +108,10 @@
 
     def tick(self, now: float) -> list[Decision]:
         """Drop queued calls that can no longer finish in time."""
-        return self._fill(now)
+        expired = [ticket for ticket in self._queue if ticket.deadline <= now]
+        self._queue = deque(ticket for ticket in self._queue if ticket.deadline > now)
+        refusals = [Refuse(entry.ticket_id, NotRun(NotRunReason.DEADLINE)) for entry in expired]
+        return [*refusals, *self._fill(now)]
 
     def next_tick(self, now: float) -> float | None:
         """Return when ``tick`` is due, or None while nothing waits."""
--- a/bamboojunction/core/poison/guard.py
+++ b/bamboojunction/core/poison/guard.py
@@ -18,9 +18,9 @@
 
 def fingerprint_of(kind: str, method: str, path: str, body: bytes) -> int:
     """Return the fingerprint of a request: the same request has the same one at every node."""
-    digest = xxhash.xxh3_64(kind)
-    digest.update(method)
-    digest.update(path)
+    digest = xxhash.xxh3_64(kind.encode())
+    digest.update(method.encode())
+    digest.update(path.encode())
     digest.update(body)
     return digest.intdigest()
 
--- a/bamboojunction/nodes/convert.py
+++ b/bamboojunction/nodes/convert.py
@@ -1,7 +1,7 @@
 """Conversion between link messages and the types of the decisions."""
 
 from bamboojunction.core.calls import Call
-from bamboojunction.core.load import AdmissionLevel, LoadReport
+from bamboojunction.core.load import AdmissionLevel, LoadReport, RankShare, ServiceLevel
 from bamboojunction.core.outcomes import (
     NotRun,
     NotRunReason,
@@ -101,19 +101,27 @@
 def _load_to_wire(report: LoadReport | None) -> Load | None:
     if report is None:
         return None
-    level = report.level
     return Load(
         report.queued,
         report.in_flight,
         report.limit,
-        level.rank,
-        level.fraction,
+        _level_to_wire(report.level),
         report.draining,
+        tuple((known.service, _level_to_wire(known.level)) for known in report.below),
     )
 
 
 def _load_from_wire(load: Load | None) -> LoadReport | None:
     if load is None:
         return None
-    level = AdmissionLevel(load.level_rank, load.level_fraction)
-    return LoadReport(load.queued, load.in_flight, load.limit, level, load.draining)
+    level = _level_from_wire(load.level)
+    below = tuple(ServiceLevel(service, _level_from_wire(shares)) for service, shares in load.below)
+    return LoadReport(load.queued, load.in_flight, load.limit, level, load.draining, below)
+
+
+def _level_to_wire(level: AdmissionLevel) -> tuple[tuple[int, float], ...]:
+    return tuple((share.rank, share.fraction) for share in level.shares)
+
+
+def _level_from_wire(shares: tuple[tuple[int, float], ...]) -> AdmissionLevel:
+    return AdmissionLevel(tuple(RankShare(rank, fraction) for rank, fraction in shares))
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -63,9 +63,9 @@
     queued: int
     in_flight: int
     limit: int
-    level_rank: int
-    level_fraction: float
+    level: tuple[tuple[int, float], ...]
     draining: bool
+    below: tuple[tuple[str, tuple[tuple[int, float], ...]], ...] = ()
 
 
 class CallAnswer(Message, tag=2):
--- /dev/null
+++ b/devtools/bamboo_bench/command.py
@@ -0,0 +1,33 @@
+"""The command ``bamboo-bench``."""
+
+import importlib
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
+
+COMMAND_CLASSES = {
+    "policy": "bamboo_bench.policy.command:PolicyCommand",
+    "state": "bamboo_bench.state.command:StateCommand",
+    "path": "bamboo_bench.path.command:PathCommand",
+}
+
+
+def _factory(target: str):
+    def create() -> Command:
+        module_name, class_name = target.split(":")
+        return getattr(importlib.import_module(module_name), class_name)()
+
+    return create
+
+
+def main() -> int:
+    """Run the command line."""
+    application = Application("bamboo-bench")
+    factories = {name: _factory(target) for name, target in COMMAND_CLASSES.items()}
+    application.set_command_loader(FactoryCommandLoader(factories))
+    return application.run()
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/devtools/bamboo_bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The policy bench: drives the decision classes with small fakes under a virtual clock."""
--- /dev/null
+++ b/devtools/bamboo_bench/policy/baseline.py
@@ -0,0 +1,141 @@
+"""The baseline without the layer: round robin, FIFO, a static limit, retries at every hop."""
+
+from collections import deque
+
+from bamboojunction.core.admission.gate import Decision, Refuse, ServiceEnd, Start, Ticket
+from bamboojunction.core.load import LoadReport
+from bamboojunction.core.membership.view import Announcement
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Ran
+from bamboojunction.core.retries.policy import GiveUp, RetryAfter, RetryDecision
+from bamboojunction.core.routing.router import AttemptEnd, Chosen, RouteRequest
+from bamboojunction.core.table.rows import Row
+
+QUEUE_MAX_CALLS = 400
+RETRY_DELAY_SECONDS = 0.05
+
+
+class FifoAdmission:
+    """Run calls in order of arrival under a static limit, whatever their deadline."""
+
+    __slots__ = ("_in_flight", "_queue", "_slots")
+
+    def __init__(self, slots: int):
+        self._slots = slots
+        self._queue: deque[int] = deque()
+        self._in_flight: set[int] = set()
+
+    def offer(self, ticket: Ticket, now: float) -> list[Decision]:
+        """Queue a call, or refuse it when the queue is full."""
+        if len(self._queue) >= QUEUE_MAX_CALLS:
+            return [Refuse(ticket.ticket_id, NotRun(NotRunReason.SHED))]
+        self._queue.append(ticket.ticket_id)
+        return self._fill()
+
+    def finish(
+        self, ticket_id: int, end: ServiceEnd, service_seconds: float, now: float, **_
+    ) -> list[Decision]:
+        """Free the slot of a call."""
+        self._in_flight.discard(ticket_id)
+        return self._fill()
+
+    def cancel(self, ticket_id: int, now: float) -> list[Decision]:
+        """Keep the call, as nothing tells the server that its caller went away."""
+        return []
+
+    def tick(self, now: float) -> list[Decision]:
+        """Do nothing."""
+        return []
+
+    def next_tick(self, now: float) -> float | None:
+        """Return None, as nothing is due by time."""
+        return None
+
+    def report(self, now: float) -> LoadReport:
+        """Report an open gate."""
+        return LoadReport()
+
+    def _fill(self) -> list[Decision]:
+        decisions: list[Decision] = []
+        while self._queue and len(self._in_flight) < self._slots:
+            ticket_id = self._queue.popleft()
+            self._in_flight.add(ticket_id)
+            decisions.append(Start(ticket_id))
+        return decisions
+
+
+class RoundRobinRouter:
+    """Send attempts to all instances of a service in turn."""
+
+    __slots__ = ("_by_service", "_turn_by_service")
+
+    def __init__(self):
+        self._by_service: dict[str, list[Announcement]] = {}
+        self._turn_by_service: dict[str, int] = {}
+
+    def update(self, service: str, instances: list[Announcement]) -> None:
+        """Replace the instances of a service."""
+        self._by_service[service] = instances
+
+    def choose(self, request: RouteRequest, now: float) -> Chosen | NotRun:
+        """Choose the next instance."""
+        instances = self._by_service.get(request.service, [])
+        if not instances:
+            return NotRun(NotRunReason.NO_UPSTREAM)
+        turn = self._turn_by_service.get(request.service, 0)
+        self._turn_by_service[request.service] = turn + 1
+        return Chosen(instances[turn % len(instances)].instance)
+
+    def sent(self, instance: str, kind: str, now: float) -> None:
+        """Learn nothing."""
+
+    def ended(self, end: AttemptEnd, now: float) -> None:
+        """Learn nothing."""
+
+
+class HopRetries:
+    """Retry every failure while this hop has retries left."""
+
+    __slots__ = ()
+
+    def decide(
+        self, row: Row, outcome: Outcome, allowance: int, deadline: float, now: float
+    ) -> RetryDecision:
+        """Choose between another attempt and giving up."""
+        succeeded = isinstance(outcome, Ran) and outcome.status < 500
+        if succeeded or allowance < 1 or now >= deadline:
+            return GiveUp()
+        return RetryAfter(RETRY_DELAY_SECONDS)
+
+
+class NoPoisonGuard:
+    """Ban nothing."""
+
+    __slots__ = ()
+
+    def crashed(self, in_flight: list[int], now: float) -> list:
+        """Ban nothing."""
+        return []
+
+    def learn(self, ban) -> bool:
+        """Ban nothing."""
+        return False
+
+    def is_banned(self, fingerprint: int, now: float) -> bool:
+        """Return False."""
+        return False
+
+
+class NoEdge:
+    """Refuse nothing at the edge."""
+
+    __slots__ = ()
+
+    def learn(self, *_) -> None:
+        """Learn nothing."""
+
+    def export(self, *_) -> tuple:
+        """Return no levels."""
+        return ()
+
+    def refusal(self, *_) -> None:
+        """Refuse nothing."""
--- /dev/null
+++ b/devtools/bamboo_bench/policy/command.py
@@ -0,0 +1,44 @@
+"""The command ``bamboo-bench policy``."""
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from bamboo_bench.policy.deployments import DEPLOYMENTS
+from bamboo_bench.policy.runner import jobs_for, play_all, worst_lines
+from bamboo_bench.policy.scenarios import load_scenarios
+
+
+class PolicyCommand(Command):
+    """Run scenarios against today's policy and the baselines."""
+
+    name = "policy"
+    description = "Measures the overload policy in scenarios under a virtual clock"
+    options = [
+        option("scenario", None, "Number of a scenario (default: all)", flag=False, multiple=True),
+        option("seed", None, "Run one seed", flag=False),
+        option("seeds", None, "Run seeds 1 to this", flag=False, default="10"),
+        option("deployment", None, "cycle-bays, khmira or deep", flag=False, multiple=True),
+        option("policy", None, "Name of a policy (default: all)", flag=False, multiple=True),
+        option("json", None, "Print one JSON line for each figure"),
+    ]
+
+    def handle(self) -> int:
+        """Run what was asked for; return 1 when a target was not met."""
+        known = load_scenarios()
+        scenarios = [int(number) for number in self.option("scenario")] or list(known)
+        deployments = self.option("deployment") or list(DEPLOYMENTS)
+        jobs = jobs_for(scenarios, deployments, self.option("policy"), self._seeds())
+        results = play_all(jobs)
+        lines = worst_lines(results)
+        for line in lines:
+            self.line(line.to_json() if self.option("json") else line.to_text())
+        missed = sum(1 for line in lines if line.verdict == "FAIL")
+        if not self.option("json"):
+            cpu_seconds = sum(result.cpu_seconds for result in results)
+            self.line(f"{missed} targets missed, {len(results)} runs, {cpu_seconds:.0f} CPU s")
+        return 1 if missed else 0
+
+    def _seeds(self) -> list[int]:
+        if self.option("seed"):
+            return [int(self.option("seed"))]
+        return list(range(1, int(self.option("seeds")) + 1))
--- /dev/null
+++ b/devtools/bamboo_bench/policy/scenarios/__init__.py
@@ -0,0 +1,105 @@
+"""The scenarios of the policy bench, a module for each; importing a module registers it."""
+
+import importlib
+import pkgutil
+from dataclasses import dataclass, field
+
+from bamboo_bench.policy.clients import Clients, Traffic
+from bamboo_bench.policy.deployments import Deployment
+from bamboo_bench.policy.ledger import Ledger, Window
+from bamboo_bench.policy.policies import Policy
+from bamboo_bench.policy.world import World
+
+
+@dataclass(slots=True, frozen=True)
+class Measure:
+    """Hold one figure of a run and the stated target it has to meet, if it has one.
+
+    ``at_least`` and ``at_most`` are the bounds; a baseline is measured but not judged.
+    """
+
+    metric: str
+    value: float
+    at_least: float | None = None
+    at_most: float | None = None
+
+    @property
+    def met(self) -> bool:
+        """Return whether the figure meets its target."""
+        low = self.at_least is None or self.value >= self.at_least
+        high = self.at_most is None or self.value <= self.at_most
+        return low and high
+
+    @property
+    def has_target(self) -> bool:
+        """Return whether the figure is judged."""
+        return self.at_least is not None or self.at_most is not None
+
+
+@dataclass(slots=True)
+class Run:
+    """Hold one run of a scenario: the fleet, its clients and its ledger."""
+
+    deployment: Deployment
+    world: World
+    clients: Clients
+    traffic: Traffic
+
+    @property
+    def ledger(self) -> Ledger:
+        """Return the run's records."""
+        return self.world.ledger
+
+
+@dataclass(slots=True)
+class Scenario:
+    """Describe a scenario; subclasses set the traffic, the faults and the figures.
+
+    ``number`` is the scenario's number on the issue. ``policies`` names the policies to run.
+    """
+
+    number: int = 0
+    title: str = ""
+    seconds: float = 30.0
+    policies: tuple[str, ...] = ("today", "no-layer")
+    deployments: tuple[str, ...] = ("cycle-bays", "khmira", "deep")
+    windows: list[Window] = field(default_factory=list)
+
+    def traffic(self, deployment: Deployment) -> Traffic:
+        """Return the traffic that the run starts with."""
+        raise NotImplementedError
+
+    def script(self, run: Run) -> None:
+        """Schedule the faults and the changes of traffic on the run's clock."""
+        raise NotImplementedError
+
+    def measures(self, run: Run) -> list[Measure]:
+        """Work out the figures of a finished run."""
+        raise NotImplementedError
+
+    def play(self, deployment: Deployment, policy: Policy, seed: int) -> Run:
+        """Run the scenario once."""
+        world = World(deployment, policy, seed, list(self.windows))
+        traffic = self.traffic(deployment)
+        run = Run(deployment, world, Clients(world, traffic), traffic)
+        run.clients.start()
+        self.script(run)
+        world.clock.run_until(self.seconds)
+        return run
+
+
+SCENARIOS: dict[int, Scenario] = {}
+
+
+def register(scenario: type[Scenario]) -> type[Scenario]:
+    """Add a scenario class to the registry."""
+    instance = scenario()
+    SCENARIOS[instance.number] = instance
+    return scenario
+
+
+def load_scenarios() -> dict[int, Scenario]:
+    """Import every scenario module and return the scenarios by number."""
+    for module in pkgutil.iter_modules(__path__):
+        importlib.import_module(f"{__name__}.{module.name}")
+    return dict(sorted(SCENARIOS.items()))
--- /dev/null
+++ b/devtools/bamboo_bench/policy/scenarios/slow_deep_service.py
@@ -0,0 +1,51 @@
+"""Scenario 1: a deep service slows tenfold for 20 s while clients retry hard."""
+
+from dataclasses import dataclass, field
+
+from bamboo_bench.policy.clients import Traffic
+from bamboo_bench.policy.deployments import Deployment
+from bamboo_bench.policy.figures import recovery_seconds, succeeded_share, useful_share, usual_rates
+from bamboo_bench.policy.ledger import Window
+from bamboo_bench.policy.scenarios import Measure, Run, Scenario, register
+
+BEFORE = Window("before", 1.0, 5.0)
+SLOW = Window("slow", 5.0, 25.0)
+AFTER = Window("after", 28.0, 32.0)
+LOAD = 0.6
+SLOWNESS = 10.0
+CLIENT_RETRIES = 5
+GOODPUT_AT_LEAST = 0.90
+RECOVERY_AT_MOST_SECONDS = 3.0
+
+
+@register
+@dataclass(slots=True)
+class SlowDeepService(Scenario):
+    """Slow every upstream of the contended service."""
+
+    number: int = 1
+    title: str = "a deep service slows tenfold for 20 s while clients retry hard"
+    seconds: float = 35.0
+    windows: list[Window] = field(default_factory=lambda: [BEFORE, SLOW, AFTER])
+
+    def traffic(self, deployment: Deployment) -> Traffic:
+        """Load the contended service to a usual level."""
+        return Traffic(usual_rates(deployment, LOAD), CLIENT_RETRIES)
+
+    def script(self, run: Run) -> None:
+        """Slow the service, then restore it."""
+        for node in run.world.nodes(run.deployment.contended):
+            condition = node.upstream.condition
+            run.world.clock.call_at(SLOW.start, setattr, condition, "slowness", SLOWNESS)
+            run.world.clock.call_at(SLOW.end, setattr, condition, "slowness", 1.0)
+
+    def measures(self, run: Run) -> list[Measure]:
+        """Measure goodput against what the slowed service could carry, and the recovery."""
+        goodput = useful_share(run.ledger, run.deployment, SLOW.name, run.deployment.contended)
+        recovery = recovery_seconds(run.ledger, BEFORE, SLOW.end, AFTER.end)
+        after = succeeded_share(run.ledger.arrived_in(AFTER))
+        return [
+            Measure("goodput_of_slowed_capacity", goodput, at_least=GOODPUT_AT_LEAST),
+            Measure("recovery_s", recovery, at_most=RECOVERY_AT_MOST_SECONDS),
+            Measure("succeeded_after", after),
+        ]
--- /dev/null
+++ b/devtools/bamboo_bench/policy/upstream.py
@@ -0,0 +1,97 @@
+"""A fake upstream: runs executions, slows, starts cold, crashes."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bamboo_bench.policy.clock import Timer, VirtualClock
+
+POISON_BODY = b"poison"
+COLD_SLOWNESS = 5.0  # A wholly cold upstream takes this many times its usual time.
+TIME_SHAPE = 8.0  # Shape of the gamma distribution of an execution's own time.
+
+
+@dataclass(slots=True)
+class UpstreamCondition:
+    """Hold what a scenario does to an upstream.
+
+    ``slowness`` multiplies every own time, ``slowness_by_kind`` that of one kind. Above ``knee``
+    executions at once (0: none) own times grow in proportion.
+    """
+
+    slowness: float = 1.0
+    slowness_by_kind: dict[str, float] = field(default_factory=dict)
+    knee: int = 0
+    cold_start_seconds: float = 0.0
+    restart_seconds: float = 2.0
+    report_lie: str = ""
+
+
+class FakeUpstream:
+    """Turn own times into delays; the node beside it decides what runs."""
+
+    __slots__ = (
+        "_clock",
+        "_random",
+        "_warm_share",
+        "_warmed_at",
+        "condition",
+        "crash_listener",
+        "down_until",
+        "running",
+        "slots",
+    )
+
+    def __init__(self, slots: int, clock: VirtualClock, rng: random.Random):
+        self.slots = slots
+        self.condition = UpstreamCondition()
+        self.running = 0
+        self.down_until = 0.0
+        self.crash_listener: Callable[[], None] = lambda: None
+        self._clock = clock
+        self._random = rng
+        self._warm_share = 1.0
+        self._warmed_at = 0.0
+
+    @property
+    def is_down(self) -> bool:
+        """Return whether nothing answers at the upstream's address."""
+        return self._clock.now < self.down_until
+
+    def restart_cold(self) -> None:
+        """Start again with everything cold."""
+        self._warm_share = 0.0
+        self._warmed_at = self._clock.now
+
+    def crash(self) -> None:
+        """Lose every running execution, stay down for a while, then start cold."""
+        self.down_until = self._clock.now + self.condition.restart_seconds
+        self.running = 0
+        self.crash_listener()
+        self._clock.call_at(self.down_until, self.restart_cold)
+
+    def spend(self, kind: str, own_seconds: float, callback: Callable[[], None]) -> Timer:
+        """Run a callback once an execution's own time has passed."""
+        noise = self._random.gammavariate(TIME_SHAPE, 1.0 / TIME_SHAPE)
+        seconds = own_seconds * noise * self._slowness(kind)
+        return self._clock.call_later(seconds, callback)
+
+    def _slowness(self, kind: str) -> float:
+        condition = self.condition
+        slowness = condition.slowness * condition.slowness_by_kind.get(kind, 1.0)
+        if condition.knee and self.running > condition.knee:
+            slowness *= self.running / condition.knee
+        return slowness * self._coldness()
+
+    def _coldness(self) -> float:
+        if self._warm_share >= 1.0:
+            return 1.0
+        # An upstream that runs more than its warm part allows warms up more slowly, as caches
+        # and compilers compete with the work.
+        allowed = max(1.0, self._warm_share * self.slots)
+        crowding = max(1.0, self.running / allowed)
+        elapsed = self._clock.now - self._warmed_at
+        self._warmed_at = self._clock.now
+        gained = elapsed / max(self.condition.cold_start_seconds, 0.001) / crowding
+        self._warm_share = min(1.0, self._warm_share + gained)
+        return 1.0 + (COLD_SLOWNESS - 1.0) * (1.0 - self._warm_share) * crowding
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the admission at the gate."""
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the benches."""
--- /dev/null
+++ b/tests/bench/test_policy.py
@@ -0,0 +1,26 @@
+"""The policy bench runs the decision classes and gives the same figures for the same seed."""
+
+import unittest
+from dataclasses import replace
+
+from bamboo_bench.policy.deployments import DEPLOYMENTS, cycle_bays
+from bamboo_bench.policy.policies import TODAY
+from bamboo_bench.policy.scenarios import load_scenarios
+
+
+class PolicyBenchTests(unittest.TestCase):
+    def test_same_seed_gives_same_figures(self):
+        scenario = load_scenarios()[1]
+        short = replace(scenario, seconds=2.0)
+        first, second = (short.play(cycle_bays(), TODAY, 7) for _ in range(2))
+        self.assertGreater(len(first.ledger.requests), 100)
+        self.assertEqual(first.ledger.requests, second.ledger.requests)
+
+    def test_every_kind_completes_while_nothing_fails(self):
+        scenario = load_scenarios()[1]
+        for name, create in DEPLOYMENTS.items():
+            with self.subTest(deployment=name):
+                run = replace(scenario, seconds=3.0).play(create(), TODAY, 7)
+                old = [request for request in run.ledger.requests if request.arrived < 1.0]
+                kinds = {request.kind for request in old if request.succeeded}
+                self.assertEqual(len(kinds), len(run.deployment.kinds))
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -8,8 +8,8 @@
 
 class CodecTests(unittest.TestCase):
     def test_answer_with_load_survives_round_trip(self):
-        load = Load(1, 2, 3, 4, 0.5, False)
-        answer = CallAnswer(7, 0, 200, [("a", "b")], b"body", "", 0.0, 1, 0.01, load)
+        load = Load(1, 2, 3, ((4, 0.5),), False, (("payments", ((3, 0.25),)),))
+        answer = CallAnswer(7, 0, 200, (("a", "b"),), b"body", "", 0.0, 1, 0.01, load)
         self.assertEqual(decode(encode(answer)).ok(), answer)
 
     def test_malformed_frames_are_errors(self):
