--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -10,13 +10,15 @@
 import signal
 import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
 
-from bamboo_standins.fault_proxy import FaultProxy
+from bamboo_standins.fault_proxy import FaultProxy, ProxyFaults
+from bamboojunction.core.table.csvfile import parse_table
+from bamboojunction.core.table.objects import Edit, table_value
 
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
@@ -71,7 +73,7 @@
     """Hold one answer as a caller sees it."""
 
     status: int
-    headers: dict[str, str]
+    headers: Mapping[str, str]
     body: bytes
 
     @property
@@ -87,16 +89,21 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """Own the processes of a whole example; ``directory`` takes settings, logs and the ledger."""
+    """Own the processes of a whole example; ``directory`` takes settings, logs and the ledger.
+
+    With ``proxied``, nodes reach each other through a fault proxy in this process.
+    """
 
     directory: Path
     plans: list[InstancePlan]
     table_text: str
     extra_settings: str = ""
+    proxied: bool = True
     by_instance: dict[str, RunningInstance] = field(default_factory=dict)
     platform_port: int = 0
     _platform: asyncio.subprocess.Process | None = None
     _session: aiohttp.ClientSession | None = None
+    _extra: list[asyncio.subprocess.Process] = field(default_factory=list)
 
     async def start(self) -> None:
         """Start everything and wait until each node sees every service and the table."""
@@ -112,7 +119,7 @@
 
     async def stop(self) -> None:
         """End every process that was started."""
-        processes = [self._platform]
+        processes = [self._platform, *self._extra]
         for running in self.by_instance.values():
             processes += [running.node, running.upstream]
             await running.proxy.stop()
@@ -134,10 +141,10 @@
     async def start_platform(self) -> None:
         """Start the platform stand-in, empty."""
         address = f"127.0.0.1:{self.platform_port}"
-        self._platform = await self._spawn(
+        self._platform = await self.spawn(
             "platform", "bamboo_standins.platform", ["--address", address]
         )
-        await self._wait_http(f"http://{address}/_counts")
+        await self.wait_http(f"http://{address}/_counts")
 
     async def platform_faults(self, **faults) -> None:
         """Set the faults of the platform stand-in."""
@@ -148,7 +155,9 @@
     async def write_table(self, text: str, if_version: int) -> int:
         """Write the table and return the platform's version of it."""
         url = f"http://127.0.0.1:{self.platform_port}/objects/tables/table?if_version={if_version}"
-        value = {"schema": 1, "edit_id": f"edit-{if_version}", "text": text}
+        table = parse_table(text, if_version, "").unwrap()
+        edit = Edit(f"edit-{if_version}", "fleet", "")
+        value = table_value(table, edit, if_version, {}, [])
         async with self._session.put(url, json=value) as response:
             response.raise_for_status()
             return (await response.json())["version"]
@@ -169,10 +178,10 @@
             *("--calls", plan.calls),
             *("--ledger", str(self.ledger_path)),
         ]
-        running.upstream = await self._spawn(
+        running.upstream = await self.spawn(
             f"{name}-upstream", "bamboo_standins.upstream", arguments
         )
-        await self._wait_http(f"http://{running.upstream_address}/_health")
+        await self.wait_http(f"http://{running.upstream_address}/_health")
 
     async def upstream_faults(self, name: str, **faults) -> None:
         """Set the faults of an upstream stand-in."""
@@ -185,7 +194,7 @@
         running = self.by_instance[name]
         path = self.directory / f"{name}.ini"
         path.write_text(self._settings_text(running))
-        running.node = await self._spawn(
+        running.node = await self.spawn(
             f"{name}-node", "bamboojunction.management.commands.node", [str(path)]
         )
 
@@ -227,7 +236,7 @@
         sent |= {_header(key): str(value) for key, value in headers.items()}
         url = f"http://{self.by_instance[name].caller_address}/work"
         async with self._session.request(method, url, data=body, headers=sent) as response:
-            return Answer(response.status, dict(response.headers), await response.read())
+            return Answer(response.status, response.headers, await response.read())
 
     async def home(self, name: str) -> str:
         """Return a node's current home prefix for keys."""
@@ -235,6 +244,44 @@
         async with self._session.get(url) as response:
             return await response.text()
 
+    def cut_data_centre(self, data_centre: str) -> None:
+        """Cut the links between a data centre and all others, both ways."""
+        for target in self.by_instance.values():
+            for source in self.by_instance.values():
+                inside = {target.plan.data_centre, source.plan.data_centre}
+                if len(inside) == 2 and data_centre in inside:
+                    target.proxy.set_faults(ProxyFaults(cut=True), source.host)
+
+    def heal(self) -> None:
+        """Take back every fault of the links."""
+        for running in self.by_instance.values():
+            running.proxy.clear_faults()
+
+    async def restore(self) -> None:
+        """Take back every fault, restart what died and wait until every node sees all others."""
+        self.heal()
+        await self.platform_faults()
+        for name, running in self.by_instance.items():
+            if running.upstream.returncode is not None:
+                await self.start_upstream(name)
+            await self.upstream_faults(name)
+            if running.node.returncode is not None:
+                await self.start_node(name)
+            else:
+                self.signal_node(name, signal.SIGCONT)
+        await asyncio.gather(*(self.wait_whole(name) for name in self.by_instance))
+
+    async def wait_whole(self, name: str) -> None:
+        """Wait until a node sees every instance serving."""
+
+        def is_whole(state: dict) -> bool:
+            serving = {
+                entry["instance"] for entry in state["upstreams"] if entry["state"] == "serving"
+            }
+            return state["table_version"] > 0 and serving == set(self.by_instance)
+
+        await self.wait_state(name, is_whole)
+
     def signal_node(self, name: str, signal_number: int) -> None:
         """Send a signal to a node's process."""
         self.by_instance[name].node.send_signal(signal_number)
@@ -266,13 +313,14 @@
 
     def _settings_text(self, running: RunningInstance) -> str:
         plan = running.plan
+        link_port = running.proxy_port if self.proxied else running.link_port
         return f"""[node]
 instance = {plan.instance}
 service = {plan.service}
 data_centre = {plan.data_centre}
 region = {plan.region}
 link_address = {running.host}:{running.link_port}
-link_advertised_address = {running.host}:{running.proxy_port}
+link_advertised_address = {running.host}:{link_port}
 caller_address = {running.caller_address}
 
 [upstream]
@@ -288,7 +336,12 @@
 secret = {LINK_SECRET}
 {self.extra_settings}"""
 
-    async def _spawn(self, log_name: str, module: str, arguments: list[str]):
+    async def spawn_extra(self, log_name: str, module: str, arguments: list[str]) -> None:
+        """Start one more process, which ends with the fleet."""
+        self._extra.append(await self.spawn(log_name, module, arguments))
+
+    async def spawn(self, log_name: str, module: str, arguments: list[str]):
+        """Start a Python module as a process whose output goes to a log file."""
         with (self.directory / f"{log_name}.log").open("ab") as log:
             return await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", module, *arguments),
@@ -297,7 +350,8 @@
                 env={**os.environ, "UV_USE_IO_URING": "0"},
             )
 
-    async def _wait_http(self, url: str) -> None:
+    async def wait_http(self, url: str) -> None:
+        """Wait until a URL answers."""
         async with asyncio.timeout(READY_SECONDS):
             while True:
                 try:
