--- a/bamboojunction/node/sync.py
+++ b/bamboojunction/node/sync.py
@@ -101,10 +101,7 @@
         if not self.exchange.own.is_gone:
             self.exchange.announce(with_state(self.exchange.own, InstanceState.GONE), now)
         self.send(self.exchange.flush(now))
-        if self._ticker is not None:
-            self._ticker.cancel()
-        if self._flush_timer is not None:
-            self._flush_timer.cancel()
+        self._stop_timers()
         try:
             async with asyncio.timeout(GOODBYE_SECONDS):
                 await self._platform.withdraw()
@@ -112,6 +109,17 @@
             logger.info("event=goodbye_timeout")
         await self._platform.close()
 
+    async def cancel(self) -> None:
+        """End the tasks without a word to anyone."""
+        self._stop_timers()
+        await self._platform.close()
+
+    def _stop_timers(self) -> None:
+        if self._ticker is not None:
+            self._ticker.cancel()
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+
     def send(self, sends: Iterable[Send]) -> None:
         """Carry out the sends of the exchange, and pass on news after a short wait."""
         for send in sends:
--- /dev/null
+++ b/devtools/bamboo_standins/memory_fleet.py
@@ -0,0 +1,251 @@
+"""The exchange and the platform's tasks of many nodes in one process, for a paused clock.
+
+The nodes are the real ones above the links: their messages are encoded as on a link and arrive
+after a fixed delay, unless a fault is set.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from bamboo_standins.memory_platform import MemoryPlatformClient, SharedPlatform
+from bamboojunction.conf.settings import (
+    LinkSettings,
+    NodeSettings,
+    PlatformSettings,
+    Settings,
+    UpstreamSettings,
+)
+from bamboojunction.core.membership.view import Announcement, MembershipView
+from bamboojunction.core.table.csvfile import parse_table
+from bamboojunction.core.table.diff import diff_tables
+from bamboojunction.core.table.holder import TableHolder
+from bamboojunction.core.table.objects import (
+    COLLECTION,
+    NAME,
+    Edit,
+    read_table_object,
+    table_value,
+)
+from bamboojunction.core.table.render import render_table
+from bamboojunction.core.table.rows import Table
+from bamboojunction.node.sync import Sync
+from bamboojunction.nodes.codec import decode, encode
+from bamboojunction.nodes.messages import AnyMessage
+
+LINK_SECONDS = 0.001
+# A masked frame of a WebSocket and the TCP/IP headers of the packet that carries it.
+FRAME_BYTES = 8
+PACKET_BYTES = 40
+STARTED_AT = 1_900_000_000.0
+
+
+@dataclass(slots=True)
+class MemoryNetwork:
+    """Deliver messages between nodes; ``is_cut`` says which pairs of instances cannot talk."""
+
+    by_address: dict[str, "MemoryNode"] = field(default_factory=dict)
+    is_cut: Callable[["MemoryNode", "MemoryNode"], bool] = lambda sender, receiver: False
+    loss: float = 0.0
+    generator: random.Random = field(default_factory=lambda: random.Random(1))
+
+    def deliver(self, sender: "MemoryNode", address: str, message: AnyMessage) -> None:
+        """Send a message, which is lost when the receiver cannot be reached."""
+        frame = encode(message)
+        sender.sent_bytes += len(frame) + FRAME_BYTES + PACKET_BYTES
+        sender.sent_by_type[type(message).__name__] += len(frame)
+        receiver = self.by_address.get(address)
+        if receiver is None or self.is_cut(sender, receiver):
+            return
+        if self.loss and self.generator.random() < self.loss:
+            return
+        receiver.received_bytes += len(frame) + FRAME_BYTES + PACKET_BYTES
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINK_SECONDS, receiver.receive, sender.instance, frame)
+
+
+class MemoryNode:
+    """Hold one node's protocol objects; also be its link pool."""
+
+    def __init__(self, fleet: "MemoryFleet", announcement: Announcement, seeds: str):
+        self.instance = announcement.instance
+        self.announcement = announcement
+        self.network = fleet.network
+        self.client = MemoryPlatformClient(fleet.platform)
+        self.view = MembershipView()
+        self.holder = TableHolder()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.sent_by_type: Counter[str] = Counter()
+        self.versions: list[tuple[float, int]] = []
+        self.handlers: dict[type, Callable[[str, AnyMessage], None]] = {}
+        self.is_running = False
+        self.sync = Sync.from_config(
+            _settings(announcement, seeds),
+            announcement,
+            self.view,
+            self.holder,
+            self.client,
+            self,
+            lambda: None,
+            random.Random(announcement.instance + announcement.incarnation),
+        )
+
+    def start(self) -> None:
+        """Start the tasks and be reachable."""
+        self.network.by_address[self.announcement.address] = self
+        self.is_running = True
+        self.sync.start()
+
+    async def kill(self) -> None:
+        """End without a word to anyone."""
+        self.is_running = False
+        if self.network.by_address.get(self.announcement.address) is self:
+            del self.network.by_address[self.announcement.address]
+        await self.sync.cancel()
+
+    async def stop(self) -> None:
+        """Leave gracefully."""
+        await self.sync.leave()
+        await asyncio.sleep(LINK_SECONDS)
+        await self.sync.close()
+        await self.kill()
+
+    def send(self, address: str, message: AnyMessage) -> None:
+        """Send a message that may be lost."""
+        self.network.deliver(self, address, message)
+
+    def abandon(self, address: str) -> None:
+        """Do nothing, as there is no connection."""
+
+    def on_message(self, message_type: type, handler: Callable[[str, AnyMessage], None]) -> None:
+        """Set the handler of a type of message."""
+        self.handlers[message_type] = handler
+
+    def receive(self, peer: str, frame: bytes) -> None:
+        """Handle a frame as a link does."""
+        if not self.is_running:
+            return
+        message = decode(frame).unwrap()
+        self.handlers[type(message)](peer, message)
+        version = self.holder.table.version
+        if not self.versions or self.versions[-1][1] != version:
+            self.versions.append((asyncio.get_running_loop().time(), version))
+
+
+class MemoryFleet:
+    """Hold the nodes, their network and their platform."""
+
+    def __init__(self):
+        self.network = MemoryNetwork()
+        self.platform = SharedPlatform()
+        self.by_instance: dict[str, MemoryNode] = {}
+        self._incarnations = Counter()
+
+    def add(
+        self,
+        instance: str,
+        data_centre: str = "north",
+        service: str = "bayfinder",
+        seeds: str = "",
+        started_at: float | None = None,
+    ) -> MemoryNode:
+        """Create and start a node, or the next incarnation of one that was stopped."""
+        self._incarnations[instance] += 1
+        known = self.by_instance.get(instance)
+        now = asyncio.get_running_loop().time()
+        announcement = Announcement(
+            instance=instance,
+            incarnation=f"{instance}-{self._incarnations[instance]:012}",
+            service=service,
+            data_centre=data_centre,
+            region="region",
+            address=known.announcement.address if known else self._next_address(),
+            started_at=STARTED_AT + now if started_at is None else started_at,
+            caller_address="10.0.0.1:8000",
+        )
+        node = MemoryNode(self, announcement, seeds)
+        self.by_instance[instance] = node
+        node.start()
+        return node
+
+    @property
+    def running(self) -> list[MemoryNode]:
+        """Return the nodes that run."""
+        return [node for node in self.by_instance.values() if node.is_running]
+
+    async def close(self) -> None:
+        """End every node."""
+        for node in self.running:
+            await node.kill()
+
+    def write_table(self, text: str, edit_id: str = "edit") -> int:
+        """Write a table to the platform as an operator does, and return its version."""
+        store = self.platform.store
+        current = store.by_key.get((COLLECTION, NAME))
+        value, version = (current.value, current.version) if current else ({}, 0)
+        before = read_table_object(value, version).unwrap() if current else Table()
+        table = parse_table(text, 0, edit_id).unwrap()
+        edit = Edit(edit_id, "operator", "")
+        new_value = table_value(table, edit, version, value, diff_tables(before, table))
+        written = store.put(COLLECTION, NAME, new_value, version).unwrap()
+        self.platform.wake()
+        return written.version
+
+    def views_agree(self) -> bool:
+        """Return whether all running nodes see exactly the running nodes."""
+        expected = {node.sync.exchange.own for node in self.running}
+        return all(set(node.view.present()) == expected for node in self.running)
+
+    def all_hold(self, version: int) -> bool:
+        """Return whether a version is in force at every running node."""
+        return all(node.holder.table.version == version for node in self.running)
+
+    async def seconds_until(self, condition: Callable[[], bool], limit: float) -> float:
+        """Let the time pass until a condition holds, and return how long it took."""
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        while not condition():
+            if loop.time() - start > limit:
+                raise AssertionError(f"the condition did not hold within {limit} s")
+            await asyncio.sleep(0.05)
+        return loop.time() - start
+
+    def _next_address(self) -> str:
+        number = len(self.by_instance) + 1
+        return f"10.1.{number // 250}.{number % 250 + 1}:7000"
+
+
+def table_text(rows: int, weight: int = 10) -> str:
+    """Return a table of some rows that all weigh the same."""
+    header = "kind,rank,weight,effect,deadline_ms,retries,slots_max,services\n"
+    lines = (
+        f"kind-{number},{number % 10},{weight},idempotent,1000,1,0,bayfinder payments\n"
+        for number in range(rows)
+    )
+    return header + "".join(lines)
+
+
+def with_weight(text: str, kind: str, weight: int) -> str:
+    """Return a table in which one kind weighs something else."""
+    table = parse_table(text, 0, "").unwrap()
+    row = replace(table.by_kind[kind], weight=weight)
+    return render_table(replace(table, by_kind={**table.by_kind, kind: row}))
+
+
+def _settings(announcement: Announcement, seeds: str) -> Settings:
+    return Settings(
+        node=NodeSettings(
+            instance=announcement.instance,
+            service=announcement.service,
+            data_centre=announcement.data_centre,
+            region=announcement.region,
+            link_address=announcement.address,
+            caller_address=announcement.caller_address,
+        ),
+        upstream=UpstreamSettings(address="127.0.0.1:1"),
+        platform=PlatformSettings(),
+        links=LinkSettings(seeds=seeds),
+    )
