Added bamboo-table: check, diff, apply, show and history

An edit carries an id; whatever happened to the answer, the id read back from the platform decides. Writes are conditional on the version that was read, so a repeated copy cannot take effect twice.

--- a/bamboojunction/core/membership/view.py
+++ b/bamboojunction/core/membership/view.py
@@ -5,6 +5,8 @@
 
 import xxhash
 
+# The platform's collection of announcements, an object for each instance.
+COLLECTION = "upstreams"
 BUCKETS = 64
 BUCKET_HASH_BITS = 32
 # A superseding start time is this much later than the one it replaces.
--- /dev/null
+++ b/bamboojunction/management/commands/table.py
@@ -0,0 +1,306 @@
+"""The program bamboo-table: checks, compares, applies and shows the operators' table."""
+
+import asyncio
+import getpass
+import os
+import random
+import re
+import secrets
+from collections.abc import Awaitable, Callable
+from datetime import UTC, datetime
+from pathlib import Path
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from result import Err, Ok, Result
+
+from bamboojunction import __version__
+from bamboojunction.core.table.csvfile import decode_text, parse_table
+from bamboojunction.core.table.diff import describe, diff_tables
+from bamboojunction.core.table.objects import Edit, HistoryEntry, read_object
+from bamboojunction.core.table.problems import TableProblem
+from bamboojunction.core.table.render import render_table
+from bamboojunction.core.table.rows import Table
+from bamboojunction.operators.table_edit import (
+    Applied,
+    Conflict,
+    EditOutcome,
+    NotApplied,
+    Stored,
+    TableEditor,
+    Unchanged,
+    Unsettled,
+)
+from bamboojunction.operators.table_rollout import Rollout, wait_in_force
+from bamboojunction.platform.client import PlatformClient
+from bamboojunction.platform.http import HttpPlatformClient
+
+EXIT_OK = 0
+EXIT_DIFFERENT = 1
+EXIT_BAD_TABLE = 2
+EXIT_CONFLICT = 3
+EXIT_NOT_APPLIED = 4
+EXIT_UNSETTLED = 5
+EXIT_NOT_IN_FORCE = 6
+
+PLATFORM_VARIABLE = "BAMBOO_PLATFORM"
+CALL_SECONDS = 2.0
+BASE_PATTERN = re.compile(r"#\s*version\s+([0-9]+)")
+
+FILE = argument("file", "Path of the table as a spreadsheet exports it")
+PLATFORM = option("platform", None, f"The platform's ip:port (or {PLATFORM_VARIABLE})", flag=False)
+TIMEOUT = option(
+    "timeout", None, "How many seconds to wait for the platform", flag=False, default="30"
+)
+
+
+class TableCommand(Command):
+    """Be the base of the commands that read a file or the platform."""
+
+    def read_file(self) -> Result[tuple[Table, int | None], int]:
+        """Return the table of the file and the version it was edited from, or an exit code."""
+        path = Path(self.argument("file"))
+        try:
+            content = path.read_bytes()
+        except OSError as error:
+            self.line_error(f"{path}: {error.strerror}")
+            return Err(EXIT_BAD_TABLE)
+        text = decode_text(content)
+        if text.is_err():
+            return self._report_problems(path, [text.err()])
+        table = parse_table(text.ok(), 0, "", for_operators=True)
+        if table.is_err():
+            return self._report_problems(path, table.err())
+        base = BASE_PATTERN.match(text.ok())
+        return Ok((table.ok(), int(base[1]) if base else None))
+
+    def run_with_platform(self, work: Callable[[PlatformClient], Awaitable[int]]) -> int:
+        """Run a coroutine with a client of the platform and return its exit code."""
+        addresses = (self.option("platform") or os.environ.get(PLATFORM_VARIABLE, "")).split()
+        try:
+            client = HttpPlatformClient(addresses, CALL_SECONDS)
+        except ValueError as error:
+            self.line_error(f"--platform: {error}")
+            return EXIT_NOT_APPLIED
+
+        async def run() -> int:
+            try:
+                return await work(client)
+            finally:
+                await client.close()
+
+        return asyncio.run(run())
+
+    async def read_stored(self, client: PlatformClient) -> Result[Stored, int]:
+        """Read the platform's table, or report why it cannot be read."""
+        editor = TableEditor(client, float(self.option("timeout")), random.Random())
+        stored = await editor.read()
+        if stored.is_err():
+            self.line_error(f"the platform cannot be read: {stored.err().detail}")
+            return Err(EXIT_NOT_APPLIED)
+        return stored
+
+    def _report_problems(self, path: Path, problems: list[TableProblem]) -> Err[int]:
+        for problem in problems:
+            self.line_error(f"{path}: {problem}")
+        return Err(EXIT_BAD_TABLE)
+
+
+class CheckCommand(TableCommand):
+    """Check a file without touching the platform."""
+
+    name = "check"
+    description = "Check a table and name every cell that is wrong"
+    arguments = [FILE]
+
+    def handle(self) -> int:
+        """Report the problems of the file."""
+        match self.read_file():
+            case Ok((table, _)):
+                self.line(f"{len(table.by_kind)} rows are valid")
+                return EXIT_OK
+            case Err(code):
+                return code
+
+
+class DiffCommand(TableCommand):
+    """Show what an apply would change."""
+
+    name = "diff"
+    description = "Show the rows in which a table differs from the platform's"
+    arguments = [FILE]
+    options = [PLATFORM, TIMEOUT]
+
+    def handle(self) -> int:
+        """Print the rows that differ."""
+        read = self.read_file()
+        return read.err() if read.is_err() else self.run_with_platform(self._diff(read.ok()[0]))
+
+    def _diff(self, table: Table) -> Callable[[PlatformClient], Awaitable[int]]:
+        async def work(client: PlatformClient) -> int:
+            stored = await self.read_stored(client)
+            if stored.is_err():
+                return stored.err()
+            changes = diff_tables(stored.ok().table, table)
+            for change in changes:
+                self.line(describe(change))
+            self.line(f"{len(changes)} rows differ from version {stored.ok().table.version}")
+            return EXIT_DIFFERENT if changes else EXIT_OK
+
+        return work
+
+
+class ApplyCommand(TableCommand):
+    """Write the table to the platform and wait until the nodes have it."""
+
+    name = "apply"
+    description = "Apply a table and wait until it is in force at every node"
+    arguments = [FILE]
+    options = [
+        PLATFORM,
+        TIMEOUT,
+        option("base", None, "The version that the file was edited from", flag=False),
+        option("edit-id", None, "The id of an earlier try whose outcome is unknown", flag=False),
+        option("by", None, "Who edits", flag=False),
+        option("note", None, "Why, for the history", flag=False, default=""),
+        option("no-wait", None, "Do not wait for the nodes", flag=True),
+    ]
+
+    def handle(self) -> int:
+        """Apply the file."""
+        match self.read_file():
+            case Ok((table, base)):
+                given = self.option("base")
+                base = int(given) if given else base
+                return self.run_with_platform(lambda client: self._apply(client, table, base))
+            case Err(code):
+                return code
+
+    async def _apply(self, client: PlatformClient, table: Table, base: int | None) -> int:
+        edit = Edit(
+            edit_id=self.option("edit-id") or secrets.token_hex(8),
+            edited_by=self.option("by") or getpass.getuser(),
+            edited_at=datetime.now(UTC).isoformat(timespec="seconds"),
+            note=self.option("note"),
+        )
+        editor = TableEditor(client, float(self.option("timeout")), random.Random())
+        outcome = await editor.apply(table, edit, base)
+        code, version = self._report(outcome, edit)
+        if code != EXIT_OK or self.option("no-wait"):
+            return code
+        return await self._wait(client, version)
+
+    def _report(self, outcome: EditOutcome, edit: Edit) -> tuple[int, int]:
+        match outcome:
+            case Applied(version, 0):
+                self.line(f"applied as version {version} (edit {edit.edit_id})")
+                return EXIT_OK, version
+            case Applied(version, replaced_by):
+                self.line(f"applied as version {version}, since replaced by {replaced_by}")
+                return EXIT_OK, replaced_by
+            case Unchanged(version):
+                self.line(f"version {version} already holds these rows")
+                return EXIT_OK, version
+            case Conflict(version, edited_by, changes):
+                self.line_error(f"conflict: version {version} by {edited_by or '?'} came first")
+                for change in changes:
+                    self.line_error(describe(change))
+                self.line_error("nothing was written; merge these rows and apply again")
+                return EXIT_CONFLICT, 0
+            case NotApplied(detail):
+                self.line_error(f"nothing was written: {detail}")
+                return EXIT_NOT_APPLIED, 0
+            case Unsettled(detail):
+                self.line_error(f"the write may have taken effect: {detail}")
+                self.line_error(f"settle it with: apply --edit-id {edit.edit_id}")
+                return EXIT_UNSETTLED, 0
+
+    async def _wait(self, client: PlatformClient, version: int) -> int:
+        shown = ""
+
+        def show(rollout: Rollout) -> None:
+            nonlocal shown
+            line = f"in force at {len(rollout.in_force)} of {len(rollout.by_instance)} nodes"
+            if line != shown:
+                self.line(line)
+            shown = line
+
+        rollout = await wait_in_force(client, version, float(self.option("timeout")), show)
+        for name in rollout.unreachable:
+            self.line_error(f"unreachable: {name}")
+        for name in rollout.behind:
+            held = rollout.by_instance[name].version
+            self.line_error(f"not in force: {name} (holds version {held})")
+        is_in_force = bool(rollout.in_force) and not rollout.behind
+        return EXIT_OK if is_in_force or not rollout.by_instance else EXIT_NOT_IN_FORCE
+
+
+class ShowCommand(TableCommand):
+    """Print the platform's table."""
+
+    name = "show"
+    description = "Print the platform's table, ready to be edited and applied"
+    options = [PLATFORM, TIMEOUT]
+
+    def handle(self) -> int:
+        """Print the table."""
+        return self.run_with_platform(self._show)
+
+    async def _show(self, client: PlatformClient) -> int:
+        stored = await self.read_stored(client)
+        if stored.is_err():
+            return stored.err()
+        table = stored.ok().table
+        self.line(f"# version {table.version}")
+        self.line(render_table(table).rstrip("\n"))
+        return EXIT_OK
+
+
+class HistoryCommand(TableCommand):
+    """Print the last edits."""
+
+    name = "history"
+    description = "Print the last edits, the latest first"
+    options = [
+        PLATFORM,
+        TIMEOUT,
+        option("count", None, "How many edits to print", flag=False, default="20"),
+    ]
+
+    def handle(self) -> int:
+        """Print the edits."""
+        return self.run_with_platform(self._history)
+
+    async def _history(self, client: PlatformClient) -> int:
+        stored = await self.read_stored(client)
+        if stored.is_err():
+            return stored.err()
+        history = read_object(stored.ok().value).map_or([], lambda found: found.history)
+        for entry in history[::-1][: int(self.option("count"))]:
+            self._print_entry(entry)
+        return EXIT_OK
+
+    def _print_entry(self, entry: HistoryEntry) -> None:
+        note = f" - {entry.note}" if entry.note else ""
+        self.line(f"{entry.edited_at} {entry.edited_by} (edit {entry.edit_id}){note}")
+        for row in entry.changes:
+            self.line(f"  {row.kind}: {row.before or 'no row'} -> {row.after or 'no row'}")
+
+
+def create_application() -> Application:
+    """Return the command line with all its commands."""
+    application = Application("bamboo-table", __version__)
+    commands = (CheckCommand, DiffCommand, ApplyCommand, ShowCommand, HistoryCommand)
+    for command in commands:
+        application.add(command())
+    return application
+
+
+def main() -> None:
+    """Run the command line."""
+    raise SystemExit(create_application().run())
+
+
+if __name__ == "__main__":
+    main()
--- a/bamboojunction/node/platform_sync.py
+++ b/bamboojunction/node/platform_sync.py
@@ -13,7 +13,7 @@
 from bamboojunction.conf.settings import PlatformSettings
 from bamboojunction.core.membership.exchange import Exchange
 from bamboojunction.core.membership.messages import Send
-from bamboojunction.core.membership.view import Announcement
+from bamboojunction.core.membership.view import COLLECTION, Announcement
 from bamboojunction.core.table import objects
 from bamboojunction.node.feeds import Feed
 from bamboojunction.platform.budget import Backoff, CallBudget
@@ -24,7 +24,6 @@
 )
 from bamboojunction.platform.paced import PacedPlatformClient
 
-UPSTREAMS = "upstreams"
 SCHEMA = 1
 REFRESH_SECONDS = 6 * 3600.0
 CLEAN_SECONDS = 30.0
@@ -47,10 +46,10 @@
         self.client = PacedPlatformClient(client, CallBudget(self._loop.time()))
         self._random = generator
         self._own_changed = own_changed
-        self._written = PlatformObject(UPSTREAMS, exchange.own.instance, 0, {})
+        self._written = PlatformObject(COLLECTION, exchange.own.instance, 0, {})
         self._cleaned: set[tuple[str, str]] = set()
         self._tables = Feed(objects.COLLECTION, self.client, exchange, generator, self._take_tables)
-        self._upstreams = Feed(UPSTREAMS, self.client, exchange, generator, self._take_upstreams)
+        self._upstreams = Feed(COLLECTION, self.client, exchange, generator, self._take_upstreams)
         self._watch_seconds = settings.watch_seconds
         self._tasks: list[asyncio.Task] = []
 
@@ -69,7 +68,7 @@
         for task in self._tasks:
             task.cancel()
         if self._written.version:
-            await self.client.delete(UPSTREAMS, self._written.name, self._written.version)
+            await self.client.delete(COLLECTION, self._written.name, self._written.version)
 
     async def close(self) -> None:
         """End the tasks and close the connections."""
@@ -104,7 +103,7 @@
             own = self._exchange.own
             value = {**self._written.value, "schema": SCHEMA, **msgspec.to_builtins(own)}
             version = self._written.version
-            match await self.client.put(UPSTREAMS, own.instance, value, version):
+            match await self.client.put(COLLECTION, own.instance, value, version):
                 case Ok(written):
                     self._written = written
                     backoff.succeeded()
@@ -120,14 +119,14 @@
     async def _read_own(self, backoff: Backoff) -> None:
         """Read what the platform holds in place of what this node last wrote."""
         own = self._exchange.own
-        match await self.client.get(UPSTREAMS, own.instance):
+        match await self.client.get(COLLECTION, own.instance):
             case Ok(found):
                 self._written = found
                 stored = _read_announcement(found)
                 if stored is not None:
                     self._take_entries([stored])
             case Err(error) if error.kind is PlatformErrorKind.NOT_FOUND:
-                self._written = PlatformObject(UPSTREAMS, own.instance, 0, {})
+                self._written = PlatformObject(COLLECTION, own.instance, 0, {})
             case Err(_):
                 await asyncio.sleep(backoff.failed())
 
@@ -166,7 +165,7 @@
 
     async def _delete_left(self, entry: Announcement) -> None:
         key = (entry.instance, entry.incarnation)
-        found = await self.client.get(UPSTREAMS, entry.instance)
+        found = await self.client.get(COLLECTION, entry.instance)
         if found.is_err():
             if found.err().kind is PlatformErrorKind.NOT_FOUND:
                 self._cleaned.add(key)
@@ -175,7 +174,7 @@
         if stored is not None and stored.order > entry.order:
             self._take_entries([stored])
             return
-        await self.client.delete(UPSTREAMS, entry.instance, found.ok().version)
+        await self.client.delete(COLLECTION, entry.instance, found.ok().version)
 
 
 def _read_announcement(item: PlatformObject) -> Announcement | None:
--- a/devtools/bamboo_standins/memory_platform.py
+++ b/devtools/bamboo_standins/memory_platform.py
@@ -93,7 +93,8 @@
             if batch.is_err() or batch.ok().changed or batch.ok().deleted or loop.time() >= end:
                 break
             try:
-                async with asyncio.timeout_at(end):
+                # The paused clock does not advance by less than its resolution.
+                async with asyncio.timeout(max(end - loop.time(), 0.001)):
                     await self.shared.changed.wait()
             except TimeoutError:
                 continue
--- /dev/null
+++ b/devtools/bamboo_standins/paused_clock.py
@@ -0,0 +1,39 @@
+"""Runs coroutines on a clock that jumps to the next timer instead of waiting."""
+
+import asyncio
+import functools
+import warnings
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import async_solipsism
+
+
+def run_paused(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine to its end on a new loop with a paused clock."""
+    loop = async_solipsism.EventLoop()
+    try:
+        with warnings.catch_warnings():
+            warnings.simplefilter("ignore", async_solipsism.ResolutionWarning)
+            return loop.run_until_complete(coroutine)
+    finally:
+        _cancel_all(loop)
+        loop.close()
+
+
+def paused(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
+    """Turn a test coroutine into a test that runs on a paused clock."""
+
+    @functools.wraps(test)
+    def run(*arguments) -> None:
+        run_paused(test(*arguments))
+
+    return run
+
+
+def _cancel_all(loop: asyncio.AbstractEventLoop) -> None:
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
--- /dev/null
+++ b/tests/table/test_apply.py
@@ -0,0 +1,148 @@
+"""Of racing edits exactly one wins, and a lost answer is settled, never written twice."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from bamboo_standins.memory_fleet import table_text, with_weight
+from bamboo_standins.memory_platform import MemoryPlatformClient, SharedPlatform
+from bamboo_standins.paused_clock import paused
+from result import Err
+
+from bamboojunction.core.table.csvfile import parse_table
+from bamboojunction.core.table.diff import kind_of
+from bamboojunction.core.table.objects import COLLECTION, NAME, Edit, read_object
+from bamboojunction.operators.table_edit import (
+    Applied,
+    Conflict,
+    NotApplied,
+    TableEditor,
+    Unchanged,
+    Unsettled,
+)
+from bamboojunction.platform.client import PlatformError, PlatformErrorKind
+
+TEXT = table_text(3)
+
+
+class ApplyTests(unittest.TestCase):
+    def setUp(self):
+        self.platform = SharedPlatform()
+        self.client = MemoryPlatformClient(self.platform)
+
+    async def apply(self, text, edit_id, base=None, client=None):
+        editor = TableEditor(client or self.client, 20.0, random.Random(1))
+        edit = Edit(edit_id, f"operator-{edit_id}", "")
+        return await editor.apply(parse_table(text, 0, "").unwrap(), edit, base)
+
+    def stored(self):
+        return self.platform.store.by_key[COLLECTION, NAME]
+
+    def history_ids(self):
+        history = read_object(self.stored().value).unwrap().history
+        return [entry.edit_id for entry in history]
+
+    @paused
+    async def test_first_edit_then_the_same_rows_again(self):
+        self.assertEqual(await self.apply(TEXT, "a"), Applied(1))
+        self.assertEqual(await self.apply(TEXT, "b"), Unchanged(1))
+
+    @paused
+    async def test_exactly_one_of_racing_operators_wins(self):
+        await self.apply(TEXT, "first")
+        texts = [with_weight(TEXT, f"kind-{number % 3}", 20 + number) for number in range(5)]
+        clients = [MemoryPlatformClient(self.platform) for _ in texts]
+        outcomes = await asyncio.gather(
+            *(
+                self.apply(text, f"e{number}", client=clients[number])
+                for number, text in enumerate(texts)
+            )
+        )
+        won = [outcome for outcome in outcomes if isinstance(outcome, Applied)]
+        lost = [outcome for outcome in outcomes if isinstance(outcome, Conflict)]
+        self.assertEqual((len(won), len(lost)), (1, 4))
+        self.assertEqual(self.stored().version, won[0].version)
+        self.assertEqual({conflict.version for conflict in lost}, {won[0].version})
+        self.assertTrue(all(conflict.changes for conflict in lost))
+
+    @paused
+    async def test_edit_of_an_older_version_shows_the_rows_that_differ(self):
+        first = await self.apply(TEXT, "a")
+        await self.apply(with_weight(TEXT, "kind-0", 30), "b")
+        late = await self.apply(with_weight(TEXT, "kind-2", 40), "c", base=first.version)
+        self.assertIsInstance(late, Conflict)
+        self.assertEqual([kind_of(change) for change in late.changes], ["kind-0", "kind-2"])
+        self.assertEqual(late.edited_by, "operator-b")
+
+    @paused
+    async def test_lost_answer_is_recognised_and_not_written_twice(self):
+        self.client.faults.lose_answers = 1
+        self.assertEqual(await self.apply(TEXT, "a"), Applied(1))
+        self.assertEqual(self.platform.counts["writes"], 1)
+        self.assertEqual(self.history_ids(), ["a"])
+
+    @paused
+    async def test_lost_answer_of_an_edit_that_was_replaced_since_is_recognised(self):
+        await self.apply(TEXT, "a")
+        self.client.faults.lose_answers = 1
+        slow = asyncio.create_task(self.apply(with_weight(TEXT, "kind-1", 50), "b"))
+        while self.platform.counts["writes"] < 2:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
+        other = MemoryPlatformClient(self.platform)
+        await self.apply(with_weight(TEXT, "kind-2", 60), "c", client=other)
+        self.assertEqual(await slow, Applied(2, replaced_by=3))
+
+    @paused
+    async def test_lost_answer_and_outage_stay_unsettled_until_the_edit_id_is_read_back(self):
+        self.client.faults.lose_answers = 1
+        task = asyncio.create_task(self.apply(TEXT, "a"))
+        await asyncio.sleep(0.01)
+        self.client.faults.down = True
+        self.assertIsInstance(await task, Unsettled)
+        self.client.faults.down = False
+        self.assertEqual(await self.apply(TEXT, "a"), Applied(1))
+        self.assertEqual(self.platform.counts["writes"], 1)
+
+    @paused
+    async def test_outage_writes_nothing_and_says_so(self):
+        self.client.faults.refuse_status = 503
+        self.assertIsInstance(await self.apply(TEXT, "a"), NotApplied)
+        self.assertEqual(self.platform.store.revision, 0)
+
+    @paused
+    async def test_short_outage_is_waited_for(self):
+        self.client.faults.down = True
+        task = asyncio.create_task(self.apply(TEXT, "a"))
+        await asyncio.sleep(3)
+        self.client.faults.down = False
+        self.assertEqual(await task, Applied(1))
+
+    @paused
+    async def test_stale_reads_never_undo_another_edit(self):
+        await self.apply(TEXT, "a")
+        self.client.stale = self.platform.store.snapshot()
+        other = MemoryPlatformClient(self.platform)
+        await self.apply(with_weight(TEXT, "kind-0", 30), "b", client=other)
+        late = await self.apply(with_weight(TEXT, "kind-2", 40), "c")
+        self.assertIsInstance(late, NotApplied)
+        self.assertEqual(self.history_ids(), ["a", "b"])
+
+    @paused
+    async def test_write_that_lands_late_counts_once(self):
+        """A first copy that is delayed in the network loses to the second, or the reverse."""
+        original = self.client.put
+        held = []
+
+        async def hold_first(*arguments):
+            if not held:
+                held.append(arguments)
+                return Err(PlatformError(PlatformErrorKind.LOST_ANSWER))
+            return await original(*arguments)
+
+        with mock.patch.object(self.client, "put", hold_first):
+            self.assertEqual(await self.apply(TEXT, "a"), Applied(1))
+        late = await original(*held[0])
+        self.assertTrue(late.is_err())
+        self.assertEqual(self.history_ids(), ["a"])
