--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -16,7 +16,7 @@
 
 import aiohttp
 
-from bamboo_standins.fault_proxy import FaultProxy
+from bamboo_standins.fault_proxy import FaultProxy, ProxyFaults
 from bamboojunction.core.table.csvfile import parse_table
 from bamboojunction.core.table.objects import Edit, table_value
 
@@ -106,7 +106,7 @@
     _extra: list[asyncio.subprocess.Process] = field(default_factory=list)
 
     async def start(self) -> None:
-        """Start everything and wait until each node sees every service and the table."""
+        """Start everything and wait until each node sees all others and the table."""
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self.platform_port = free_port("127.0.0.1")
         await self.start_platform()
@@ -115,7 +115,7 @@
             self.by_instance[plan.instance] = await self._place(plan)
         await asyncio.gather(*(self.start_upstream(name) for name in self.by_instance))
         await asyncio.gather(*(self.start_node(name) for name in self.by_instance))
-        await asyncio.gather(*(self.wait_ready(name) for name in self.by_instance))
+        await asyncio.gather(*(self.wait_whole(name) for name in self.by_instance))
 
     async def stop(self) -> None:
         """End every process that was started."""
@@ -198,16 +198,6 @@
             f"{name}-node", "bamboojunction.management.commands.node", [str(path)]
         )
 
-    async def wait_ready(self, name: str) -> None:
-        """Wait until a node has the table and knows an instance of each service."""
-        services = {plan.service for plan in self.plans}
-
-        def is_ready(state: dict) -> bool:
-            known = {entry["service"] for entry in state["upstreams"]}
-            return state["table_version"] > 0 and services <= known
-
-        await self.wait_state(name, is_ready)
-
     async def wait_state(
         self, name: str, condition: Callable[[dict], bool], seconds: float = READY_SECONDS
     ) -> dict:
@@ -244,6 +234,44 @@
         async with self._session.get(url) as response:
             return await response.text()
 
+    def cut_data_centre(self, data_centre: str) -> None:
+        """Cut the links between a data centre and all others, both ways."""
+        for target in self.by_instance.values():
+            for source in self.by_instance.values():
+                inside = {target.plan.data_centre, source.plan.data_centre}
+                if len(inside) == 2 and data_centre in inside:
+                    target.proxy.set_faults(ProxyFaults(cut=True), source.host)
+
+    def heal(self) -> None:
+        """Take back every fault of the links."""
+        for running in self.by_instance.values():
+            running.proxy.clear_faults()
+
+    async def restore(self) -> None:
+        """Take back every fault, restart what died and wait until every node sees all others."""
+        self.heal()
+        await self.platform_faults()
+        for name, running in self.by_instance.items():
+            if running.upstream.returncode is not None:
+                await self.start_upstream(name)
+            await self.upstream_faults(name)
+            if running.node.returncode is not None:
+                await self.start_node(name)
+            else:
+                self.signal_node(name, signal.SIGCONT)
+        await asyncio.gather(*(self.wait_whole(name) for name in self.by_instance))
+
+    async def wait_whole(self, name: str) -> None:
+        """Wait until a node sees every instance serving."""
+
+        def is_whole(state: dict) -> bool:
+            serving = {
+                entry["instance"] for entry in state["upstreams"] if entry["state"] == "serving"
+            }
+            return state["table_version"] > 0 and serving == set(self.by_instance)
+
+        await self.wait_state(name, is_whole)
+
     def signal_node(self, name: str, signal_number: int) -> None:
         """Send a signal to a node's process."""
         self.by_instance[name].node.send_signal(signal_number)
