--- a/bamboojunction/conf/settings.py
+++ b/bamboojunction/conf/settings.py
@@ -93,7 +93,7 @@
         "Time that one watch waits for changes.",
         Decimal(0.1, 300),
         unit="seconds",
-        default=20.0,
+        default=5.0,
     )
 
 
