--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -141,7 +141,7 @@
     remaining: float
 
 
-class PoisonSuspicions(Message, tag=20):
+class PoisonSuspicions(Message, tag=40):
     """Tell of requests in flight at a crash; each may run again, alone, after its hold."""
 
     instance: str
@@ -151,7 +151,7 @@
     holds: list[float]
 
 
-class PoisonClearance(Message, tag=21):
+class PoisonClearance(Message, tag=41):
     """Tell that a suspected request is innocent."""
 
     fingerprint: int
--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -162,6 +162,13 @@
             response.raise_for_status()
             return (await response.json())["version"]
 
+    async def table_version(self) -> int:
+        """Return the platform's version of the table."""
+        url = f"http://127.0.0.1:{self.platform_port}/objects/tables/table"
+        async with self._session.get(url) as response:
+            response.raise_for_status()
+            return (await response.json())["version"]
+
     async def start_upstream(self, name: str) -> None:
         """Start the upstream stand-in of an instance."""
         running = self.by_instance[name]
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -1,9 +1,10 @@
 """Messages survive the codec; malformed frames are errors, not exceptions."""
 
 import unittest
+from typing import get_args
 
 from bamboojunction.nodes.codec import decode, encode
-from bamboojunction.nodes.messages import CallAnswer, Heartbeat, Load
+from bamboojunction.nodes.messages import AnyMessage, CallAnswer, Heartbeat, Load
 
 
 class CodecTests(unittest.TestCase):
@@ -20,3 +21,7 @@
     def test_unknown_trailing_fields_are_ignored(self):
         frame = b"\x84\x08\x05\xf5\x19\x03\xe8"
         self.assertEqual(decode(frame).ok(), Heartbeat(5, True))
+
+    def test_every_message_has_a_tag_of_its_own(self):
+        tags = [kind.__struct_config__.tag for kind in get_args(AnyMessage)]
+        self.assertEqual(len(tags), len(set(tags)))
