--- a/bamboojunction/core/admission/edge.py
+++ b/bamboojunction/core/admission/edge.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from statistics import fmean
 
 from bamboojunction.core.load import (
     AdmissionLevel,
@@ -30,6 +29,10 @@
         return min(1.0, self.level.fraction(rank) + age * REOPENING_PER_SECOND)
 
 
+def _mean_fraction(known: list[_KnownLevel], rank: int, now: float) -> float:
+    return sum(level.fraction(rank, now) for level in known) / len(known)
+
+
 class EdgeLevels:
     """Keep the latest level from each source for each service, and refuse actions against them.
 
@@ -69,7 +72,7 @@
         known = self._fresh(service, now)
         if not known:
             return 1.0
-        return fmean(level.fraction(rank, now) for level in known)
+        return _mean_fraction(known, rank, now)
 
     def export(self, services: Iterable[str], now: float) -> tuple[ServiceLevel, ...]:
         """Return the levels of those services that shed, to send with an answer."""
@@ -87,7 +90,7 @@
         if not ranks:
             return None
         return AdmissionLevel(
-            tuple(RankShare(rank, fmean(e.fraction(rank, now) for e in known)) for rank in ranks)
+            tuple(RankShare(rank, _mean_fraction(known, rank, now)) for rank in ranks)
         )
 
     def _fresh(self, service: str, now: float) -> list[_KnownLevel]:
--- a/devtools/bamboo_bench/policy/figures.py
+++ b/devtools/bamboo_bench/policy/figures.py
@@ -65,3 +65,9 @@
     if not latencies:
         return float("inf")
     return latencies[min(len(latencies) - 1, int(quantile * len(latencies)))]
+
+
+def weight_share(deployment: Deployment, *ranks: int) -> float:
+    """Return the part of contended slots that the weights give to some ranks."""
+    weight_by_rank = {kind.row.rank: kind.row.weight for kind in deployment.kinds}
+    return sum(weight_by_rank[rank] for rank in ranks) / sum(weight_by_rank.values())
--- a/devtools/bamboo_bench/policy/policies.py
+++ b/devtools/bamboo_bench/policy/policies.py
@@ -11,6 +11,7 @@
     NoPoisonGuard,
     RoundRobinRouter,
 )
+from bamboo_bench.policy.upstream import COLD_START_SECONDS
 from bamboojunction.core.admission.edge import EdgeLevels
 from bamboojunction.core.admission.gate import Admission
 from bamboojunction.core.poison.guard import PoisonGuard
@@ -38,7 +39,7 @@
 
 
 def _today_admission(slots: int, rng: random.Random) -> Admission:
-    return Admission(slots)
+    return Admission(slots, COLD_START_SECONDS)
 
 
 def _today_router(data_centre: str, rng: random.Random) -> Router:
--- a/devtools/bamboo_bench/policy/scenarios/__init__.py
+++ b/devtools/bamboo_bench/policy/scenarios/__init__.py
@@ -38,12 +38,16 @@
 
 @dataclass(slots=True)
 class Run:
-    """Hold one run of a scenario: the fleet, its clients and its ledger."""
+    """Hold one run of a scenario: the fleet, its clients and its ledger.
+
+    ``companions`` holds further runs with the same seed that the figures compare with.
+    """
 
     deployment: Deployment
     world: World
     clients: Clients
     traffic: Traffic
+    companions: dict[str, "Run"] = field(default_factory=dict)
 
     @property
     def ledger(self) -> Ledger:
--- /dev/null
+++ b/devtools/bamboo_bench/policy/scenarios/cold_start.py
@@ -0,0 +1,55 @@
+"""Scenario 11: a whole service starts cold at once under full demand."""
+
+from dataclasses import dataclass, field
+
+from bamboo_bench.policy.clients import Traffic
+from bamboo_bench.policy.deployments import Deployment
+from bamboo_bench.policy.figures import recovery_seconds, succeeded_share, usual_rates
+from bamboo_bench.policy.ledger import Window
+from bamboo_bench.policy.scenarios import Measure, Run, Scenario, register
+from bamboo_bench.policy.upstream import COLD_START_SECONDS
+
+BEFORE = Window("before", 1.0, 5.0)
+CRASH_AT_SECONDS = 5.0
+RESTART_SECONDS = 0.5
+WARM_AT_SECONDS = CRASH_AT_SECONDS + RESTART_SECONDS
+AFTER = Window("after", 16.0, 20.0)
+LOAD = 0.9
+CLIENT_RETRIES = 2
+RECOVERY_AT_MOST_COLD_STARTS = 1.5
+AFTER_AT_LEAST = 0.95
+
+
+@register
+@dataclass(slots=True)
+class ColdStart(Scenario):
+    """Restart every upstream of the contended service at the same moment."""
+
+    number: int = 11
+    title: str = "a whole service starts cold at once under full demand"
+    seconds: float = 23.0
+    windows: list[Window] = field(default_factory=lambda: [BEFORE, AFTER])
+
+    def traffic(self, deployment: Deployment) -> Traffic:
+        """Load the contended service near its capacity."""
+        return Traffic(usual_rates(deployment, LOAD), CLIENT_RETRIES)
+
+    def script(self, run: Run) -> None:
+        """Crash the whole service."""
+        for node in run.world.nodes(run.deployment.contended):
+            node.upstream.condition.restart_seconds = RESTART_SECONDS
+            run.world.clock.call_at(CRASH_AT_SECONDS, node.upstream.crash)
+
+    def measures(self, run: Run) -> list[Measure]:
+        """Measure the recovery in cold-start times, and that the service did not collapse."""
+        recovery = recovery_seconds(run.ledger, BEFORE, WARM_AT_SECONDS, AFTER.end)
+        usual = succeeded_share(run.ledger.arrived_in(BEFORE))
+        after = succeeded_share(run.ledger.arrived_in(AFTER)) / usual
+        return [
+            Measure(
+                "recovery_in_cold_starts",
+                recovery / COLD_START_SECONDS,
+                at_most=RECOVERY_AT_MOST_COLD_STARTS,
+            ),
+            Measure("goodput_after", after, at_least=AFTER_AT_LEAST),
+        ]
