--- a/devtools/bamboo_bench/policy/clients.py
+++ b/devtools/bamboo_bench/policy/clients.py
@@ -19,10 +19,12 @@
 
     ``rate_by_kind`` is in requests a second. Clients try a failed request again up to
     ``client_retries`` times, after a short random pause, as a new action with a whole deadline.
+    With ``distinct_bodies`` no two requests are the same.
     """
 
     rate_by_kind: dict[str, float]
     client_retries: int = 0
+    distinct_bodies: bool = False
 
 
 class Clients:
@@ -51,7 +53,7 @@
         """Send one request now."""
         spec = self._by_kind[kind]
         now = self._world.clock.now
-        record = RequestRecord(kind, spec.row.rank, now, now + spec.row.deadline_ms / 1000)
+        record = RequestRecord(kind, spec.row.rank, now, now + spec.row.deadline_ms / 1000, body)
         self._world.ledger.requests.append(record)
         self._try(spec, record, body)
         return record
@@ -64,7 +66,8 @@
         self._world.clock.call_later(delay, callback, kind)
 
     def _arrive(self, kind: str) -> None:
-        self.send(kind)
+        body = str(len(self._world.ledger.requests)).encode()
+        self.send(kind, body if self.traffic.distinct_bodies else b"")
         self._schedule_arrival(kind)
 
     def _try(self, spec: KindSpec, record: RequestRecord, body: bytes) -> None:
@@ -83,6 +86,7 @@
             body=body,
         )
         attempt = TryRecord(row.rank, row.kind)
+        self._world.ledger.tries.append(attempt)
         sim = SimCall(call, row, spec.graph, record, attempt)
         node = self._random.choice(self._entry_nodes[row.kind])
         clock = self._world.clock
--- a/devtools/bamboo_bench/policy/ledger.py
+++ b/devtools/bamboo_bench/policy/ledger.py
@@ -25,6 +25,7 @@
     rank: int
     arrived: float
     deadline: float
+    body: bytes = b""
     finished: float = 0.0
     succeeded: bool = False
     tries: int = 0
@@ -43,6 +44,7 @@
     rank: int
     kind: str
     ended: bool = False
+    executions_by_service: dict[str, int] = field(default_factory=dict)
     spent: list[tuple[str, float, float]] = field(default_factory=list)
 
 
@@ -58,11 +60,19 @@
 class Ledger:
     """Collect requests and slot time."""
 
-    __slots__ = ("_usage", "executions_by_service", "firsts_by_service", "requests", "windows")
+    __slots__ = (
+        "_usage",
+        "executions_by_service",
+        "firsts_by_service",
+        "requests",
+        "tries",
+        "windows",
+    )
 
     def __init__(self, windows: list[Window]):
         self.windows = windows
         self.requests: list[RequestRecord] = []
+        self.tries: list[TryRecord] = []
         self.executions_by_service: dict[str, int] = {}
         self.firsts_by_service: dict[str, int] = {}
         self._usage: dict[tuple[str, str], Usage] = {}
@@ -75,6 +85,15 @@
         """Return the window with a name."""
         return next(window for window in self.windows if window.name == name)
 
+    def count_first(self, service: str) -> None:
+        """Count a call that is attempted for the first time."""
+        self.firsts_by_service[service] = self.firsts_by_service.get(service, 0) + 1
+
+    def count_execution(self, attempt: TryRecord, service: str) -> None:
+        """Count a call that starts at an upstream."""
+        for counts in (self.executions_by_service, attempt.executions_by_service):
+            counts[service] = counts.get(service, 0) + 1
+
     def add_execution(
         self, attempt: TryRecord, service: str, start: float, end: float, succeeded: bool
     ) -> None:
--- a/devtools/bamboo_bench/policy/node.py
+++ b/devtools/bamboo_bench/policy/node.py
@@ -93,6 +93,7 @@
         self._settled = False
         self._withdraw: Callable[[], None] | None = None
         self._timer = node.clock.call_at(sim.call.deadline, self._expire)
+        node.world.ledger.count_first(sim.call.service)
 
     def attempt(self) -> None:
         """Choose an instance and send it the call."""
@@ -254,6 +255,8 @@
     def _part_done(self) -> None:
         children = self.sim.step.children
         if self._position >= len(children):
+            if self._node.upstream.fails():
+                return self._end(Ran(FAILED_STATUS), ServiceEnd.FAILED)
             return self._end(Ran(200), ServiceEnd.SUCCEEDED)
         step = children[self._position]
         self._position += 1
@@ -332,8 +335,7 @@
             return self.refuse(refusal)
         node.guard.started(self.ticket_id, self.fingerprint, node.clock.now)
         self.sim.record.executions += 1
-        counts = node.world.ledger.executions_by_service
-        counts[node.service] = counts.get(node.service, 0) + 1
+        node.world.ledger.count_execution(self.sim.attempt, node.service)
         self._execution = Execution(self, node, self.sim)
         node.executions.add(self._execution)
         self._execution.start()
--- a/devtools/bamboo_bench/policy/upstream.py
+++ b/devtools/bamboo_bench/policy/upstream.py
@@ -16,7 +16,8 @@
     """Hold what a scenario does to an upstream.
 
     ``slowness`` multiplies every own time, ``slowness_by_kind`` that of one kind. Above ``knee``
-    executions at once (0: none) own times grow in proportion.
+    executions at once (0: none) own times grow in proportion. ``failure_rate`` is the part of
+    executions that fail after their whole time.
     """
 
     slowness: float = 1.0
@@ -25,6 +26,7 @@
     cold_start_seconds: float = 0.0
     restart_seconds: float = 2.0
     report_lie: str = ""
+    failure_rate: float = 0.0
 
 
 class FakeUpstream:
@@ -37,6 +39,7 @@
         "_warmed_at",
         "condition",
         "crash_listener",
+        "crashes",
         "down_until",
         "running",
         "slots",
@@ -47,6 +50,7 @@
         self.condition = UpstreamCondition()
         self.running = 0
         self.down_until = 0.0
+        self.crashes: list[float] = []
         self.crash_listener: Callable[[], None] = lambda: None
         self._clock = clock
         self._random = rng
@@ -65,6 +69,7 @@
 
     def crash(self) -> None:
         """Lose every running execution, stay down for a while, then start cold."""
+        self.crashes.append(self._clock.now)
         self.down_until = self._clock.now + self.condition.restart_seconds
         self.running = 0
         self.crash_listener()
@@ -76,6 +81,11 @@
         seconds = own_seconds * noise * self._slowness(kind)
         return self._clock.call_later(seconds, callback)
 
+    def fails(self) -> bool:
+        """Return whether an execution that has taken its time fails."""
+        rate = self.condition.failure_rate
+        return rate > 0.0 and self._random.random() < rate
+
     def _slowness(self, kind: str) -> float:
         condition = self.condition
         slowness = condition.slowness * condition.slowness_by_kind.get(kind, 1.0)
