--- a/bamboojunction/callers/app.py
+++ b/bamboojunction/callers/app.py
@@ -12,6 +12,7 @@
 from bamboojunction.core.table.rows import Effect
 from bamboojunction.node.calling import CallRouter
 from bamboojunction.node.keyed import KeyedCalls
+from bamboojunction.operators.health import HealthStatus, health_of, render_health
 from bamboojunction.operators.state import NodeState, render_state
 
 RECEIVE_KEY = "bamboojunction.receive"
@@ -20,7 +21,7 @@
 class CallSink:
     """Take every request outside the node's own pages as a call."""
 
-    __slots__ = ("_body_max_bytes", "_keyed", "_reader", "_router", "is_draining")
+    __slots__ = ("_body_max_bytes", "_keyed", "_reader", "_router", "in_flight", "is_draining")
 
     def __init__(
         self, reader: RequestReader, router: CallRouter, keyed: KeyedCalls, body_max_bytes: int
@@ -29,10 +30,18 @@
         self._router = router
         self._keyed = keyed
         self._body_max_bytes = body_max_bytes
+        self.in_flight = 0
         self.is_draining = False
 
     async def __call__(self, request: falcon.asgi.Request, response: falcon.asgi.Response, **_):
         """Route the request's call and answer with its outcome."""
+        self.in_flight += 1
+        try:
+            await self._handle(request, response)
+        finally:
+            self.in_flight -= 1
+
+    async def _handle(self, request, response) -> None:
         body = await self._read_body(request)
         if body is None:
             self._write(response, NotRun(NotRunReason.TOO_LARGE))
@@ -73,10 +82,11 @@
 
     async def _route(self, incoming: IncomingCall) -> Outcome:
         call = incoming.call
-        if self.is_draining and incoming.parent is None:
-            return NotRun(NotRunReason.DRAINING, allowance_left=call.allowance)
         if incoming.row.effect is Effect.ONCE:
+            # An earlier copy of the key may have run, which only its home can tell.
             outcome = await self._keyed.route(call, incoming.row)
+        elif self.is_draining and incoming.parent is None:
+            return NotRun(NotRunReason.DRAINING, allowance_left=call.allowance)
         else:
             outcome = await self._router.route(call, incoming.row)
         if incoming.parent is not None:
@@ -132,6 +142,23 @@
         response.content_type = falcon.MEDIA_JSON
 
 
+class HealthPage:
+    """Tell load balancers and operators whether the node takes new calls."""
+
+    __slots__ = ("_read_state",)
+
+    def __init__(self, read_state: Callable[[], NodeState]):
+        self._read_state = read_state
+
+    async def on_get(self, request, response) -> None:
+        """Answer with the health as JSON, with status 503 while the node drains."""
+        health = health_of(self._read_state())
+        is_serving = health.status is HealthStatus.SERVING
+        response.status = falcon.HTTP_200 if is_serving else falcon.HTTP_503
+        response.data = render_health(health)
+        response.content_type = falcon.MEDIA_JSON
+
+
 class CallerRequest(falcon.asgi.Request):
     """Give the headers with lower-case names."""
 
@@ -148,6 +175,7 @@
     app = falcon.asgi.App(request_type=CallerRequest)
     app.add_route("/_bamboo/home", HomePage(keyed))
     app.add_route("/_bamboo/state", StatePage(read_state))
+    app.add_route("/_bamboo/health", HealthPage(read_state))
     app.add_sink(sink, prefix="/")
 
     async def keep_receive(scope, receive, send):
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -38,7 +38,10 @@
 
 
 class CallRequest(Message, tag=1):
-    """Ask the receiver to serve a call; ``remaining`` is the time left in seconds."""
+    """Ask the receiver to serve a call; ``remaining`` is the time left in seconds.
+
+    ``gate`` names the only gate incarnation that may run the attempt of a keyed call.
+    """
 
     request_id: int
     target: int
@@ -55,6 +58,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     traceparent: str
+    gate: str = ""
 
 
 class Load(Message):
@@ -101,6 +105,7 @@
     started_at: float
     sequence: int
     state: str
+    caller_address: str = ""
 
 
 class ViewDelta(Message, tag=4):
@@ -118,10 +123,15 @@
 
 
 class Digest(Message, tag=6):
-    """Tell what the sender knows, so that the receiver sends what is missing."""
+    """Tell what the sender knows, so that the receiver sends what is missing.
+
+    ``platform_age`` is the time in seconds since the platform was last reached, negative if never.
+    """
 
     table_version: int
     view_hash: int
+    platform_age: float = -1.0
+    is_answer: bool = False
 
 
 class PoisonBan(Message, tag=7):
@@ -155,18 +165,63 @@
 
 
 class Seal(Message, tag=9):
-    """Ask a gate to refuse a key for good unless it has already seen it."""
+    """Ask a gate to refuse a key for good unless it has already seen it.
+
+    With an ``attempt``, the home asks about that attempt only. Without ``promises``, the gate tells
+    what it knows and binds itself to nothing. Only the incarnation that ``gate`` names may answer.
+    """
 
     request_id: int
     key: str
+    attempt: int = 0
+    gate: str = ""
+    promises: bool = True
 
 
 class SealAnswer(Message, tag=10):
-    """Answer a seal: sealed now, or what the gate knows of the key."""
+    """Answer a seal: sealed now, running, or how the call ended; none of these when forgotten."""
 
     request_id: int
     sealed: bool
     answer: CallAnswer | None = None
+    running: bool = False
+
+
+class ViewHashes(Message, tag=20):
+    """Carry the hash of each bucket of the membership view, four bytes each."""
+
+    hashes: bytes
+
+
+class ViewBuckets(Message, tag=21):
+    """Carry all entries of some buckets and ask for those that the sender lacks."""
+
+    buckets: bytes
+    entries: list[Entry]
+
+
+class TableDelta(Message, tag=22):
+    """Carry the rows that changed between two versions, each as its cells by column."""
+
+    base_version: int
+    version: int
+    edit_id: str
+    changed: list[dict[str, str]]
+    removed: list[str]
+    content_hash: int
+
+
+class TableRequest(Message, tag=23):
+    """Ask for the whole table; ``version`` is the one that the sender holds."""
+
+    version: int
+
+
+class Silence(Message, tag=24):
+    """Report that an instance does not answer the sender."""
+
+    instance: str
+    incarnation: str
 
 
 AnyMessage = (
@@ -183,4 +238,9 @@
     | Heartbeat
     | Seal
     | SealAnswer
+    | ViewHashes
+    | ViewBuckets
+    | TableDelta
+    | TableRequest
+    | Silence
 )
