--- a/devtools/bamboo_bench/policy/ledger.py
+++ b/devtools/bamboo_bench/policy/ledger.py
@@ -57,11 +57,22 @@
     useful_by_rank: dict[int, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True, frozen=True)
+class Counts:
+    """Hold what was counted up to a moment, by service."""
+
+    firsts: dict[str, int]
+    attempts: dict[str, int]
+    executions: dict[str, int]
+
+
 class Ledger:
     """Collect requests and slot time."""
 
     __slots__ = (
+        "_marks",
         "_usage",
+        "attempts_by_service",
         "executions_by_service",
         "firsts_by_service",
         "requests",
@@ -73,8 +84,10 @@
         self.windows = windows
         self.requests: list[RequestRecord] = []
         self.tries: list[TryRecord] = []
+        self.attempts_by_service: dict[str, int] = {}
         self.executions_by_service: dict[str, int] = {}
         self.firsts_by_service: dict[str, int] = {}
+        self._marks: dict[str, Counts] = {}
         self._usage: dict[tuple[str, str], Usage] = {}
 
     def usage(self, window: str, service: str) -> Usage:
@@ -85,6 +98,29 @@
         """Return the window with a name."""
         return next(window for window in self.windows if window.name == name)
 
+    def mark(self, name: str) -> None:
+        """Keep the counts of this moment; a mark and the same one with ``_end`` bound a span."""
+        self._marks[name] = Counts(
+            dict(self.firsts_by_service),
+            dict(self.attempts_by_service),
+            dict(self.executions_by_service),
+        )
+
+    def executions_per_first(self, name: str) -> float:
+        """Return the executions in a marked span as a multiple of the calls that began in it."""
+        start, end = self._marks[name], self._marks[f"{name}_end"]
+        return _grown(start.executions, end.executions) / _grown(start.firsts, end.firsts)
+
+    def attempts_per_first(self, name: str, service: str | None = None) -> float:
+        """Return the attempts in a marked span as a multiple of the calls that began in it."""
+        start, end = self._marks[name], self._marks[f"{name}_end"]
+        attempts = _grown(start.attempts, end.attempts, service)
+        return attempts / _grown(start.firsts, end.firsts, service)
+
+    def count_attempt(self, service: str) -> None:
+        """Count an attempt that a router sends."""
+        self.attempts_by_service[service] = self.attempts_by_service.get(service, 0) + 1
+
     def count_first(self, service: str) -> None:
         """Count a call that is attempted for the first time."""
         self.firsts_by_service[service] = self.firsts_by_service.get(service, 0) + 1
@@ -127,3 +163,9 @@
                 continue
             usage.useful += seconds
             usage.useful_by_rank[rank] = usage.useful_by_rank.get(rank, 0.0) + seconds
+
+
+def _grown(start: dict[str, int], end: dict[str, int], service: str | None = None) -> int:
+    """Return by how much the counts of one or all services grew."""
+    services = end if service is None else [service]
+    return sum(end.get(name, 0) - start.get(name, 0) for name in services)
--- a/devtools/bamboo_bench/policy/node.py
+++ b/devtools/bamboo_bench/policy/node.py
@@ -137,6 +137,7 @@
         node, sim = self._node, self._sim
         started = node.clock.now
         node.router.sent(instance, sim.call.kind, started)
+        node.world.ledger.count_attempt(sim.call.service)
 
         def answered(reply: Reply) -> None:
             now = node.clock.now
