--- a/bamboojunction/core/admission/edge.py
+++ b/bamboojunction/core/admission/edge.py
@@ -65,7 +65,7 @@
         place = action_hash(action)
         if place < fraction:
             return None
-        return NotRun(NotRunReason.SHED, retry_after=RETRY_AFTER_SECONDS * (0.5 + place))
+        return NotRun(NotRunReason.SHED_AT_EDGE, retry_after=RETRY_AFTER_SECONDS * (0.5 + place))
 
     def fraction(self, service: str, rank: int, now: float) -> float:
         """Return the fraction of a rank's actions that a service admits."""
--- a/bamboojunction/node/serving.py
+++ b/bamboojunction/node/serving.py
@@ -87,7 +87,7 @@
         """Wait while the call's request is held as a suspect; None means that it is none."""
         while True:
             now = self._loop.time()
-            verdict = self._guard.admit(fingerprint, self.is_quarantine(fingerprint), now)
+            verdict = self._guard.admit(fingerprint, self.is_quarantine, now)
             match verdict:
                 case RefuseSuspect(outcome=outcome):
                     return outcome
--- a/devtools/bamboo_bench/policy/node.py
+++ b/devtools/bamboo_bench/policy/node.py
@@ -22,11 +22,12 @@
     Unknown,
     UnknownReason,
 )
-from bamboojunction.core.poison.guard import fingerprint_of
+from bamboojunction.core.poison.decisions import HoldSuspect, RefuseSuspect, RunAlone
+from bamboojunction.core.poison.fingerprints import fingerprint_of, suspect_after
 from bamboojunction.core.retries.allowance import AllowancePool
 from bamboojunction.core.retries.policy import GiveUp, RetryAfter
 from bamboojunction.core.routing.router import AttemptEnd, Chosen, RouteRequest
-from bamboojunction.core.table.rows import Row
+from bamboojunction.core.table.rows import Effect, Row
 
 LOCAL_ONE_WAY_SECONDS = 0.0002
 LOST_LINK_SECONDS = 0.05  # Time until a link to a crashed or cut-off node is noticed.
@@ -72,16 +73,27 @@
 class RoutedCall:
     """Attempt one call until it is settled; the router's shell."""
 
-    __slots__ = ("_done", "_excluded", "_node", "_settled", "_sim", "_timer", "_withdraw")
+    __slots__ = (
+        "_done",
+        "_excluded",
+        "_node",
+        "_settled",
+        "_sim",
+        "_suspect",
+        "_timer",
+        "_withdraw",
+    )
 
     def __init__(self, node: "FakeNode", sim: SimCall, done: Callable[[Outcome], None]):
         self._node = node
         self._sim = sim
         self._done = done
         self._excluded: frozenset[str] = frozenset()
+        self._suspect: int | None = None
         self._settled = False
         self._withdraw: Callable[[], None] | None = None
         self._timer = node.clock.call_at(sim.call.deadline, self._expire)
+        node.world.ledger.count_first(sim.call.service)
 
     def attempt(self) -> None:
         """Choose an instance and send it the call."""
@@ -100,6 +112,8 @@
             deadline=call.deadline,
             depth=call.depth,
             excluded=self._excluded,
+            idempotent=self._sim.row.effect is Effect.IDEMPOTENT,
+            suspect=self._suspect,
         )
         match node.router.choose(request, now):
             case Chosen(instance=instance):
@@ -123,6 +137,7 @@
         node, sim = self._node, self._sim
         started = node.clock.now
         node.router.sent(instance, sim.call.kind, started)
+        node.world.ledger.count_attempt(sim.call.service)
 
         def answered(reply: Reply) -> None:
             now = node.clock.now
@@ -156,6 +171,7 @@
                 self._finish(outcome)
             case RetryAfter(delay=delay):
                 sim.call.allowance = allowance - 1
+                self._suspect = suspect_after(sim.call, outcome) or self._suspect
                 node.clock.call_later(delay, self.attempt)
 
     def _expire(self) -> None:
@@ -240,6 +256,8 @@
     def _part_done(self) -> None:
         children = self.sim.step.children
         if self._position >= len(children):
+            if self._node.upstream.fails():
+                return self._end(Ran(FAILED_STATUS), ServiceEnd.FAILED)
             return self._end(Ran(200), ServiceEnd.SUCCEEDED)
         step = children[self._position]
         self._position += 1
@@ -278,33 +296,55 @@
 class GateCall:
     """Take one call through the admission and the upstream; one attempt at the gate's shell."""
 
-    __slots__ = ("_answer", "_answered", "_execution", "_node", "sim", "ticket_id")
+    __slots__ = (
+        "_answer",
+        "_answered",
+        "_execution",
+        "_node",
+        "alone",
+        "fingerprint",
+        "sim",
+        "ticket_id",
+    )
 
     def __init__(
         self, node: "FakeNode", sim: SimCall, ticket_id: int, answer: Callable[[Reply], None]
     ):
         self.sim = sim
         self.ticket_id = ticket_id
+        self.fingerprint = _fingerprint(sim.call)
+        self.alone = False
         self._node = node
         self._answer = answer
         self._answered = False
         self._execution: Execution | None = None
 
+    @property
+    def answered(self) -> bool:
+        """Return whether the call was answered or withdrawn."""
+        return self._answered
+
     def start(self) -> None:
         """Run the call, which has a slot."""
         node = self._node
         if node.policy.carries_deadline and node.clock.now >= self.sim.call.deadline:
             node.finish(self, ServiceEnd.CANCELLED, 0.0, 0.0)
             return self.refuse(NotRun(NotRunReason.DEADLINE))
+        refusal = node.guard.recheck(self.fingerprint, self.alone, node.clock.now)
+        if refusal is not None:
+            node.finish(self, ServiceEnd.CANCELLED, 0.0, 0.0)
+            return self.refuse(refusal)
+        node.guard.started(self.ticket_id, self.fingerprint, node.clock.now)
         self.sim.record.executions += 1
-        counts = node.world.ledger.executions_by_service
-        counts[node.service] = counts.get(node.service, 0) + 1
+        node.world.ledger.count_execution(self.sim.attempt, node.service)
         self._execution = Execution(self, node, self.sim)
         node.executions.add(self._execution)
         self._execution.start()
 
     def refuse(self, outcome: NotRun) -> None:
         """Answer that the call did not run."""
+        if self.alone:
+            self._node.guard.released(self.fingerprint)
         self._node.waiting.pop(self.ticket_id, None)
         self._reply(replace(outcome, allowance_left=self.sim.call.allowance), 0.0)
 
@@ -315,6 +355,8 @@
         self._answered = True
         if self._execution is not None:
             return self._execution.stop()
+        if self.alone:
+            self._node.guard.released(self.fingerprint)
         self._node.waiting.pop(self.ticket_id, None)
         self._node.carry_out(self._node.admission.cancel(self.ticket_id, self._node.clock.now))
 
@@ -328,6 +370,7 @@
         node.world.ledger.add_execution(
             self.sim.attempt, node.service, execution.started, now, succeeded
         )
+        node.tell_guard(self.ticket_id, outcome)
         node.finish(self, end, seconds, execution.below_seconds)
         self._reply(outcome, seconds)
 
@@ -344,6 +387,7 @@
     """Hold the decision classes of one node and its upstream."""
 
     __slots__ = (
+        "_random",
         "_tick",
         "_tick_due",
         "_ticket_ids",
@@ -376,9 +420,10 @@
         self.upstream = upstream
         self.admission = policy.admission(upstream.slots, rng)
         self.router = policy.router(announcement.data_centre, rng)
-        self.guard = policy.guard()
+        self.guard = policy.guard(announcement.instance)
         self.edge = policy.edge()
         self.retries_by_service = {}
+        self._random = rng
         self.executions: set[Execution] = set()
         self.waiting: dict[int, GateCall] = {}
         self._ticket_ids = count(1)
@@ -394,7 +439,7 @@
     def retries(self, service: str):
         """Return the retry policy of a service."""
         if service not in self.retries_by_service:
-            self.retries_by_service[service] = self.policy.retries()
+            self.retries_by_service[service] = self.policy.retries(self._random)
         return self.retries_by_service[service]
 
     def route(self, sim: SimCall, done: Callable[[Outcome], None]) -> RoutedCall:
@@ -405,11 +450,49 @@
 
     def serve(self, sim: SimCall, answer: Callable[[Reply], None]) -> GateCall:
         """Offer a call to the admission."""
-        call, row = sim.call, sim.row
         gate_call = GateCall(self, sim, next(self._ticket_ids), answer)
-        if self.guard.is_banned(self._fingerprint(call), self.clock.now):
-            gate_call.refuse(NotRun(NotRunReason.POISONED))
-            return gate_call
+        self._admit(gate_call)
+        return gate_call
+
+    def tell_guard(self, ticket_id: int, outcome: Outcome) -> None:
+        """Tell the guard how a started call ended, and the other nodes what it found."""
+        now = self.clock.now
+        findings = []
+        match outcome:
+            case Ran():
+                findings = self.guard.completed(ticket_id, now)
+            case Unknown(reason=UnknownReason.LOST_UPSTREAM):
+                findings = self.guard.crashed(ticket_id, now)
+            case _:
+                self.guard.abandoned(ticket_id)
+        self.world.spread(self, findings)
+
+    def hear(self, finding) -> None:
+        """Take in a finding of another node."""
+        self.world.spread(self, self.guard.learn(finding, self.clock.now))
+
+    def _admit(self, gate_call: GateCall) -> None:
+        """Hold, refuse or offer a call, as the guard decides."""
+        if gate_call.answered:
+            return
+        now = self.clock.now
+        match self.guard.admit(gate_call.fingerprint, self._is_quarantine, now):
+            case RefuseSuspect(outcome=outcome):
+                return gate_call.refuse(outcome)
+            case HoldSuspect(seconds=seconds):
+                if now + seconds >= gate_call.sim.call.deadline:
+                    return gate_call.refuse(NotRun(NotRunReason.QUARANTINED, seconds))
+                self.clock.call_later(seconds, self._admit, gate_call)
+                return
+            case RunAlone():
+                gate_call.alone = True
+        self._offer(gate_call)
+
+    def _is_quarantine(self, fingerprint: int) -> bool:
+        return self.world.is_quarantine(self, fingerprint)
+
+    def _offer(self, gate_call: GateCall) -> None:
+        call, row = gate_call.sim.call, gate_call.sim.row
         self.waiting[gate_call.ticket_id] = gate_call
         ticket = Ticket(
             ticket_id=gate_call.ticket_id,
@@ -422,7 +505,6 @@
             slots_max=row.slots_max,
         )
         self.carry_out(self.admission.offer(ticket, self.clock.now))
-        return gate_call
 
     def finish(self, gate_call: GateCall, end: ServiceEnd, seconds: float, below: float) -> None:
         """Give a slot back."""
@@ -468,12 +550,9 @@
         self.carry_out(self.admission.tick(self.clock.now))
 
     def _upstream_crashed(self) -> None:
-        lost = list(self.executions)
-        fingerprints = [self._fingerprint(execution.sim.call) for execution in lost]
-        for ban in self.guard.crashed(fingerprints, self.clock.now):
-            self.world.spread_ban(self, ban)
-        for execution in lost:
+        for execution in list(self.executions):
             execution.crashed()
 
-    def _fingerprint(self, call: Call) -> int:
-        return fingerprint_of(call.kind, call.method, call.path, call.body)
+
+def _fingerprint(call: Call) -> int:
+    return fingerprint_of(call.kind, call.method, call.path, call.body)
