--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -92,6 +92,7 @@
     """Own the processes of a whole example; ``directory`` takes settings, logs and the ledger.
 
     With ``proxied``, nodes reach each other through a fault proxy in this process.
+    ``platform_by_instance`` gives some nodes another address of the platform, a proxy for example.
     """
 
     directory: Path
@@ -101,6 +102,7 @@
     proxied: bool = True
     by_instance: dict[str, RunningInstance] = field(default_factory=dict)
     platform_port: int = 0
+    platform_by_instance: dict[str, str] = field(default_factory=dict)
     _platform: asyncio.subprocess.Process | None = None
     _session: aiohttp.ClientSession | None = None
     _extra: list[asyncio.subprocess.Process] = field(default_factory=list)
@@ -108,7 +110,7 @@
     async def start(self) -> None:
         """Start everything and wait until each node sees all others and the table."""
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        self.platform_port = free_port("127.0.0.1")
+        self.platform_port = self.platform_port or free_port("127.0.0.1")
         await self.start_platform()
         await self.write_table(self.table_text, 0)
         for plan in self.plans:
@@ -304,6 +306,8 @@
     def _settings_text(self, running: RunningInstance) -> str:
         plan = running.plan
         link_port = running.proxy_port if self.proxied else running.link_port
+        platform = f"127.0.0.1:{self.platform_port}"
+        platform = self.platform_by_instance.get(plan.instance, platform)
         return f"""[node]
 instance = {plan.instance}
 service = {plan.service}
@@ -320,7 +324,7 @@
 cold_start_seconds = {plan.cold_start_seconds}
 
 [platform]
-addresses = 127.0.0.1:{self.platform_port}
+addresses = {platform}
 
 [links]
 secret = {LINK_SECRET}
