Fixed a restarted node that knew no peer: probes now carry the sender's address

A node that restarted during an outage, with no seed in reach, was probed by peers that it did not know, could not answer them, and was removed. It now asks the prober for its view; the test of the cut-off data centre heals within the 3 s of the target.

--- a/bamboojunction/core/membership/exchange.py
+++ b/bamboojunction/core/membership/exchange.py
@@ -20,6 +20,7 @@
 from bamboojunction.core.membership.removal import Removal
 from bamboojunction.core.membership.ring import Ring
 from bamboojunction.core.membership.view import (
+    BUCKETS,
     Announcement,
     InstanceState,
     MembershipView,
@@ -193,7 +194,7 @@
         return self._to(peer, self._summary(now, is_answer=False))
 
     def _ask_seeds(self, now: float) -> list[Send]:
-        is_alone = self.liveness.last_heard_at is None
+        is_alone = len(self.view.present()) <= 1
         if not self._seeds or not (is_alone or now - self._seeded_at >= SEED_SECONDS):
             return []
         self._seeded_at = now
@@ -203,7 +204,11 @@
             return []
         address = self._random.choice(unknown)
         summary = self._summary(now, is_answer=False)
-        return [Send(address, News((self.own,))), Send(address, summary)]
+        return [Send(address, self._introduction()), Send(address, summary)]
+
+    def _introduction(self) -> BucketEntries:
+        """Return a message to a node that is not in the view: it answers with all that it knows."""
+        return BucketEntries(frozenset(range(BUCKETS)), (self.own,))
 
     def _report_silent(self, now: float) -> list[Send]:
         if now - self._reported_at < REPORT_INTERVAL_SECONDS:
@@ -229,10 +234,13 @@
 
     def _summary(self, now: float, is_answer: bool) -> Summary:
         version = self.holder.table.version
-        return Summary(version, self.view.total_hash(), self.platform_age(now), is_answer)
+        age = self.platform_age(now)
+        return Summary(version, self.view.total_hash(), self.own.address, age, is_answer)
 
     def _take_summary(self, peer: str, summary: Summary, now: float) -> list[Send]:
         self._note_platform_age(summary.platform_age, now)
+        if peer not in self.view.by_instance:
+            return [Send(summary.address, self._introduction())] if summary.address else []
         sends: list[Send] = []
         if not summary.is_answer:
             sends += self._to(peer, self._summary(now, is_answer=True))
--- a/bamboojunction/core/membership/messages.py
+++ b/bamboojunction/core/membership/messages.py
@@ -11,12 +11,14 @@
 class Summary:
     """Tell what the sender knows; one that is not an answer asks for the receiver's.
 
-    ``platform_age`` is the time in seconds since the platform answered a node that the sender
-    knows of, or None when that never happened.
+    ``address`` is the sender's, for a receiver that does not know it yet. ``platform_age`` is the
+    time in seconds since the platform answered a node that the sender knows of, or None when that
+    never happened.
     """
 
     table_version: int
     view_hash: int
+    address: str = ""
     platform_age: float | None = None
     is_answer: bool = False
 
--- a/bamboojunction/nodes/exchange_wire.py
+++ b/bamboojunction/nodes/exchange_wire.py
@@ -1,6 +1,7 @@
 """Conversion between link messages and the messages of the exchange."""
 
 import struct
+from ipaddress import ip_address
 
 from result import Err, Ok, Result
 
@@ -49,9 +50,9 @@
 def to_wire(message: ExchangeMessage) -> AnyMessage:
     """Return the link message that carries a message of the exchange."""
     match message:
-        case Summary(version, view_hash, age, is_answer):
+        case Summary(version, view_hash, address, age, is_answer):
             shown_age = NEVER if age is None else round(age, 1)
-            return Digest(version, view_hash, shown_age, is_answer)
+            return Digest(version, view_hash, address, shown_age, is_answer)
         case BucketHashes(hashes):
             return ViewHashes(_HASHES.pack(*hashes))
         case BucketEntries(buckets, entries):
@@ -78,8 +79,11 @@
 
 def _from_wire(message: AnyMessage) -> Result[ExchangeMessage, str]:
     match message:
-        case Digest(version, view_hash, age, is_answer):
-            return Ok(Summary(version, view_hash, None if age < 0 else age, is_answer))
+        case Digest(version, view_hash, address, age, is_answer):
+            known_age = None if age < 0 else age
+            if address:
+                _check_address(address)
+            return Ok(Summary(version, view_hash, address, known_age, is_answer))
         case ViewHashes(hashes):
             return Ok(BucketHashes(_HASHES.unpack(hashes)))
         case ViewBuckets(buckets, entries):
@@ -98,6 +102,14 @@
     return Err(f"{type(message).__name__} is no message of the exchange")
 
 
+def _check_address(address: str) -> None:
+    """Raise ValueError unless the address is an IP number and a port; names are never resolved."""
+    host, _, port = address.rpartition(":")
+    ip_address(host.strip("[]"))
+    if not port.isdecimal():
+        raise ValueError(f"{address!r} is not ip:port")
+
+
 def _to_entry(entry: Announcement) -> Entry:
     return Entry(
         entry.instance,
@@ -114,6 +126,8 @@
 
 
 def _from_entries(entries: list[Entry]) -> tuple[Announcement, ...]:
+    for entry in entries:
+        _check_address(entry.address)
     return tuple(
         Announcement(
             instance=entry.instance,
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -130,6 +130,7 @@
 
     table_version: int
     view_hash: int
+    address: str = ""
     platform_age: float = -1.0
     is_answer: bool = False
 
--- a/devtools/bamboo_standins/memory_fleet.py
+++ b/devtools/bamboo_standins/memory_fleet.py
@@ -155,6 +155,7 @@
         """Create and start a node, or the next incarnation of one that was stopped."""
         self._incarnations[instance] += 1
         known = self.by_instance.get(instance)
+        assert known is None or not known.is_running
         now = asyncio.get_running_loop().time()
         announcement = Announcement(
             instance=instance,
--- /dev/null
+++ b/tests/membership/test_membership.py
@@ -0,0 +1,279 @@
+"""Views of real protocol objects converge through every fault, and nobody alive is removed."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from bamboo_standins.memory_fleet import STARTED_AT, MemoryFleet, table_text
+from bamboo_standins.paused_clock import paused
+from loguru import logger
+
+from bamboojunction.core.membership import removal
+from bamboojunction.core.membership.exchange import HOUSEKEEPING_SECONDS
+from bamboojunction.core.membership.removal import SILENT_SECONDS
+from bamboojunction.core.membership.view import COLLECTION, InstanceState
+
+CENTRES = ("seq-brisbane", "nq-townsville", "seq-goldcoast")
+CONVERGE_SECONDS = 3.0
+REMOVE_SECONDS = 3 * SILENT_SECONDS
+
+
+class MembershipTests(unittest.TestCase):
+    def setUp(self):
+        logger.disable("bamboojunction")
+        self.addCleanup(logger.enable, "bamboojunction")
+
+    async def start(self, count: int = 13, centres=CENTRES) -> MemoryFleet:
+        fleet = MemoryFleet()
+        fleet.write_table(table_text(5))
+        for number in range(count):
+            centre = centres[number % len(centres)]
+            fleet.add(f"upstream-{number:02}", centre, f"service-{number % 4}")
+        await fleet.seconds_until(fleet.views_agree, 10)
+        # The links of the first seconds are not those of a fleet that has run for a while.
+        await asyncio.sleep(15)
+        return fleet
+
+    def cut_platform(self, fleet: MemoryFleet, is_down: bool = True) -> None:
+        for node in fleet.running:
+            node.client.faults.down = is_down
+
+    def cut_centre(self, fleet: MemoryFleet, centre: str) -> None:
+        def is_cut(sender, receiver) -> bool:
+            centres = (sender.announcement.data_centre, receiver.announcement.data_centre)
+            return (centres[0] == centre) != (centres[1] == centre)
+
+        fleet.network.is_cut = is_cut
+
+    def heal(self, fleet: MemoryFleet) -> None:
+        fleet.network.is_cut = lambda sender, receiver: False
+
+    def seeds(self, fleet: MemoryFleet) -> str:
+        return " ".join(node.announcement.address for node in fleet.running[:3])
+
+    @paused
+    async def test_new_node_is_found_through_peers_while_the_platform_is_down(self):
+        fleet = await self.start()
+        self.cut_platform(fleet)
+        node = fleet.add("new", CENTRES[0], "service-1", seeds=self.seeds(fleet))
+        node.client.faults.down = True
+        taken = await fleet.seconds_until(fleet.views_agree, 30)
+        self.assertLessEqual(taken, CONVERGE_SECONDS)
+        self.assertGreater(node.holder.table.version, 0)
+        await fleet.close()
+
+    @paused
+    async def test_drain_is_known_everywhere_while_the_platform_is_down(self):
+        fleet = await self.start()
+        self.cut_platform(fleet)
+        leaver = fleet.running[4]
+        await leaver.sync.leave()
+
+        def is_known() -> bool:
+            entries = [node.view.by_instance[leaver.instance] for node in fleet.running]
+            return all(entry.state is InstanceState.DRAINING for entry in entries)
+
+        self.assertLessEqual(await fleet.seconds_until(is_known, 30), CONVERGE_SECONDS)
+        await leaver.stop()
+        taken = await fleet.seconds_until(fleet.views_agree, 30)
+        self.assertLessEqual(taken, CONVERGE_SECONDS)
+        await fleet.close()
+
+    @paused
+    async def test_graceful_stop_deletes_the_announcement(self):
+        fleet = await self.start(3)
+        leaver = fleet.running[0]
+        await leaver.stop()
+        self.assertNotIn((COLLECTION, leaver.instance), fleet.platform.store.by_key)
+        await fleet.close()
+
+    @paused
+    async def test_silent_death_is_removed_by_peers_and_cleaned_at_the_platform(self):
+        fleet = await self.start()
+        dead = fleet.running[5]
+        await dead.kill()
+        taken = await fleet.seconds_until(fleet.views_agree, 60)
+        self.assertLessEqual(taken, REMOVE_SECONDS)
+
+        def is_deleted() -> bool:
+            return (COLLECTION, dead.instance) not in fleet.platform.store.by_key
+
+        await fleet.seconds_until(is_deleted, 120)
+        with mock.patch.object(removal, "GONE_SECONDS", 30.0):
+            await asyncio.sleep(2 * HOUSEKEEPING_SECONDS + 60.0)
+        remembered = [dead.instance in node.view.by_instance for node in fleet.running]
+        self.assertFalse(any(remembered))
+        await fleet.close()
+
+    @paused
+    async def test_rack_of_neighbours_that_dies_at_once_is_removed(self):
+        fleet = await self.start(20, centres=("only",))
+        ring = fleet.running[0].sync.exchange.ring.instances()
+        for name in ring[3:8]:
+            await fleet.by_instance[name].kill()
+        await fleet.seconds_until(fleet.views_agree, 5 * REMOVE_SECONDS)
+        await fleet.close()
+
+    @paused
+    async def test_restart_at_the_same_address_replaces_the_incarnation(self):
+        fleet = await self.start()
+        self.cut_platform(fleet)
+        old = fleet.running[2]
+        await old.kill()
+        new = fleet.add(old.instance, old.announcement.data_centre, seeds=self.seeds(fleet))
+        new.client.faults.down = True
+        taken = await fleet.seconds_until(fleet.views_agree, 30)
+        self.assertLessEqual(taken, CONVERGE_SECONDS)
+        await fleet.close()
+
+    @paused
+    async def test_restart_with_a_clock_that_is_behind_still_replaces_the_incarnation(self):
+        fleet = await self.start()
+        old = fleet.running[2]
+        await old.kill()
+        new = fleet.add(old.instance, old.announcement.data_centre, started_at=STARTED_AT - 9e5)
+        taken = await fleet.seconds_until(fleet.views_agree, 30)
+        self.assertLessEqual(taken, CONVERGE_SECONDS)
+        entry = fleet.running[0].view.by_instance[old.instance]
+        self.assertEqual(entry.incarnation, new.announcement.incarnation)
+        await fleet.close()
+
+    @paused
+    async def test_replaced_incarnation_that_comes_back_does_not_fight(self):
+        fleet = await self.start()
+        old = fleet.running[2]
+        old_address = old.announcement.address
+        fleet.network.is_cut = lambda sender, receiver: old in (sender, receiver)
+        await asyncio.sleep(40)
+        old.is_running = False
+        new = fleet.add(old.instance, old.announcement.data_centre)
+        await fleet.seconds_until(fleet.views_agree, 60)
+        old.is_running = True
+        self.heal(fleet)
+        await asyncio.sleep(60)
+        entry = fleet.running[0].view.by_instance[new.instance]
+        self.assertEqual(entry.incarnation, new.announcement.incarnation)
+        self.assertTrue(old.sync.exchange.is_superseded)
+        self.assertEqual(old_address, new.announcement.address)
+        await old.sync.cancel()
+        await fleet.close()
+
+    @paused
+    async def test_node_that_was_unreachable_comes_back(self):
+        fleet = await self.start()
+        lost = fleet.running[6]
+        fleet.network.is_cut = lambda sender, receiver: lost in (sender, receiver)
+        await asyncio.sleep(REMOVE_SECONDS)
+        others = [node for node in fleet.running if node is not lost]
+        self.assertTrue(all(node.view.by_instance[lost.instance].is_gone for node in others))
+        self.assertEqual(len(lost.view.present()), len(fleet.running))
+        self.heal(fleet)
+        taken = await fleet.seconds_until(fleet.views_agree, 30)
+        self.assertLessEqual(taken, CONVERGE_SECONDS)
+        await fleet.close()
+
+    @paused
+    async def test_cut_off_data_centre_loses_nobody_and_heals(self):
+        fleet = await self.start(15)
+        self.cut_platform(fleet)
+        self.cut_centre(fleet, CENTRES[0])
+        await asyncio.sleep(120)
+        self.assertTrue(fleet.views_agree())
+        for place in (0, 4):
+            old = fleet.running[place]
+            await old.kill()
+            new = fleet.add(old.instance, old.announcement.data_centre, seeds=self.seeds(fleet))
+            new.client.faults.down = True
+        await asyncio.sleep(30)
+        self.assertFalse(fleet.views_agree())
+        self.heal(fleet)
+        taken = await fleet.seconds_until(fleet.views_agree, 30)
+        self.assertLessEqual(taken, CONVERGE_SECONDS)
+        await fleet.close()
+
+    @paused
+    async def test_long_outage_removes_nobody_while_nodes_come_and_go(self):
+        fleet = await self.start(7)
+        self.cut_platform(fleet)
+        for hour in range(4):
+            await fleet.running[0].kill()
+            node = fleet.add(f"new-{hour}", CENTRES[hour % 3], "service-1", seeds=self.seeds(fleet))
+            node.client.faults.down = True
+            await asyncio.sleep(300)
+            self.assertTrue(fleet.views_agree(), hour)
+        self.cut_platform(fleet, is_down=False)
+        await asyncio.sleep(120)
+        self.assertTrue(fleet.views_agree())
+        stored = {name for kind, name in fleet.platform.store.by_key if kind == COLLECTION}
+        self.assertGreaterEqual(stored, {node.instance for node in fleet.running})
+        await fleet.close()
+
+    @paused
+    async def test_missed_news_are_repaired_by_digests(self):
+        fleet = await self.start()
+        self.cut_platform(fleet)
+        node = fleet.running[3]
+        for other in fleet.running:
+            other.sync.exchange.flush = lambda now: []
+        own = node.sync.exchange.own
+        await node.sync.leave()
+        self.assertNotEqual(node.sync.exchange.own, own)
+        taken = await fleet.seconds_until(fleet.views_agree, 60)
+        self.assertLess(taken, 30)
+        await fleet.close()
+
+    @paused
+    async def test_announcement_survives_faults_of_the_platform(self):
+        faults = {"lose_answers": 2}, {"refuse_status": 503}, {"down": True}
+        for fault in faults:
+            with self.subTest(fault=fault):
+                fleet = MemoryFleet()
+                node = fleet.add("a")
+                for name, value in fault.items():
+                    setattr(node.client.faults, name, value)
+                await asyncio.sleep(5)
+                node.client.faults.refuse_status = 0
+                node.client.faults.down = False
+                await asyncio.sleep(60)
+                stored = fleet.platform.store.by_key[COLLECTION, "a"].value
+                self.assertEqual(stored["incarnation"], node.announcement.incarnation)
+                await fleet.close()
+
+    @paused
+    async def test_unknown_fields_of_an_announcement_survive_a_rewrite(self):
+        fleet = MemoryFleet()
+        store = fleet.platform.store
+        newer = {"schema": 2, "instance": "a", "rack": "r7"}
+        store.put(COLLECTION, "a", newer, 0)
+        fleet.add("a")
+        await asyncio.sleep(5)
+        value = store.by_key[COLLECTION, "a"].value
+        self.assertEqual((value["rack"], value["service"]), ("r7", "bayfinder"))
+        await fleet.close()
+
+    @paused
+    async def test_deleted_announcement_of_a_live_node_is_written_again(self):
+        fleet = await self.start(4)
+        name = fleet.running[0].instance
+        store = fleet.platform.store
+        store.delete(COLLECTION, name, store.by_key[COLLECTION, name].version)
+        await fleet.running[0].sync.leave()
+        await asyncio.sleep(5)
+        self.assertIn((COLLECTION, name), store.by_key)
+        await fleet.close()
+
+    @paused
+    async def test_compacted_watch_reads_the_collection_again(self):
+        fleet = await self.start(4)
+        self.cut_platform(fleet)
+        store = fleet.platform.store
+        store.compact()
+        store.skip_revisions(1_000)
+        self.cut_platform(fleet, is_down=False)
+        fleet.network.is_cut = lambda sender, receiver: True
+        newcomer = fleet.add("new", CENTRES[0])
+        await asyncio.sleep(150)
+        known = ["new" in node.view.by_instance for node in fleet.running]
+        self.assertTrue(all(known))
+        self.assertGreater(len(newcomer.view.by_instance), 4)
+        await fleet.close()
--- /dev/null
+++ b/tests/table/test_in_force.py
@@ -0,0 +1,183 @@
+"""An accepted edit is in force everywhere within seconds and never reverts."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from bamboo_standins.memory_fleet import MemoryFleet, table_text, with_weight
+from bamboo_standins.paused_clock import paused
+from loguru import logger
+
+from bamboojunction.core.membership.messages import ChangedRows, WholeTable
+from bamboojunction.core.table.rows import DEFAULT_ROW
+from bamboojunction.node import feeds
+from bamboojunction.nodes.exchange_wire import to_wire
+
+CENTRES = ("lac", "sakiet", "charguia")
+IN_FORCE_SECONDS = 3.0
+TEXT = table_text(8)
+
+
+class InForceTests(unittest.TestCase):
+    def setUp(self):
+        logger.disable("bamboojunction")
+        self.addCleanup(logger.enable, "bamboojunction")
+
+    async def start(self, count: int = 13) -> MemoryFleet:
+        fleet = MemoryFleet()
+        version = fleet.write_table(TEXT)
+        for number in range(count):
+            fleet.add(f"upstream-{number:02}", CENTRES[number % 3])
+        await fleet.seconds_until(lambda: fleet.all_hold(version) and fleet.views_agree(), 10)
+        await asyncio.sleep(15)
+        return fleet
+
+    async def edit(self, fleet: MemoryFleet, weight: int, limit: float = 60.0) -> float:
+        version = fleet.write_table(with_weight(TEXT, "kind-3", weight), f"edit-{weight}")
+        return await fleet.seconds_until(lambda: fleet.all_hold(version), limit)
+
+    def seeds(self, fleet: MemoryFleet) -> str:
+        return " ".join(node.announcement.address for node in fleet.running[-3:])
+
+    def assert_never_back(self, fleet: MemoryFleet) -> None:
+        for node in fleet.by_instance.values():
+            versions = [version for _, version in node.versions]
+            self.assertEqual(versions, sorted(versions), node.instance)
+
+    @paused
+    async def test_in_force_with_the_platform_cut_off_from_half_of_the_nodes(self):
+        fleet = await self.start()
+        for half in (0, 1):
+            for number, node in enumerate(fleet.running):
+                node.client.faults.down = number % 2 == half
+            await asyncio.sleep(10)
+            self.assertLessEqual(await self.edit(fleet, 20 + half), IN_FORCE_SECONDS)
+        await fleet.close()
+
+    @paused
+    async def test_one_node_that_reaches_the_platform_is_enough_after_a_while(self):
+        fleet = await self.start(30)
+        for node in fleet.running[1:]:
+            node.client.faults.down = True
+        await asyncio.sleep(120)
+        self.assertLessEqual(await self.edit(fleet, 30), IN_FORCE_SECONDS)
+        await fleet.close()
+
+    @paused
+    async def test_stale_reads_and_restarted_watches_never_bring_back_an_old_version(self):
+        fleet = await self.start()
+        stale = fleet.platform.store.snapshot()
+        await self.edit(fleet, 40)
+        version = fleet.running[0].holder.table.version
+        for node in fleet.running:
+            node.client.stale = stale
+        fleet.platform.store.compact()
+        fleet.platform.wake()
+        with mock.patch.object(feeds, "RELIST_SECONDS", 20.0):
+            await asyncio.sleep(120)
+        self.assertTrue(fleet.all_hold(version))
+        self.assert_never_back(fleet)
+        await fleet.close()
+
+    @paused
+    async def test_replayed_messages_change_nothing(self):
+        fleet = await self.start(4)
+        node = fleet.running[0]
+        old = node.holder.table
+        await self.edit(fleet, 50)
+        delta = node.holder.delta_from(old.version)
+        version = node.holder.table.version
+        await self.edit(fleet, 60)
+        for message in (WholeTable(old), ChangedRows(delta)):
+            fleet.network.deliver(fleet.running[1], node.announcement.address, to_wire(message))
+        await asyncio.sleep(1)
+        self.assertGreater(node.holder.table.version, version)
+        self.assert_never_back(fleet)
+        await fleet.close()
+
+    @paused
+    async def test_version_survives_the_replacement_of_every_node_during_an_outage(self):
+        fleet = await self.start()
+        await self.edit(fleet, 70)
+        version = fleet.running[0].holder.table.version
+        for node in fleet.running:
+            node.client.faults.down = True
+        for old in fleet.running:
+            await old.stop()
+            new = fleet.add(
+                f"{old.instance}-new", old.announcement.data_centre, seeds=self.seeds(fleet)
+            )
+            new.client.faults.down = True
+            await asyncio.sleep(30)
+        self.assertTrue(fleet.all_hold(version))
+        self.assertTrue(fleet.views_agree())
+        await fleet.close()
+
+    @paused
+    async def test_full_restart_in_an_outage_serves_on_defaults_and_then_converges(self):
+        fleet = await self.start()
+        version = fleet.running[0].holder.table.version
+        old_nodes = fleet.running
+        for old in old_nodes:
+            await old.kill()
+        for old in old_nodes:
+            new = fleet.add(old.instance, old.announcement.data_centre)
+            new.client.faults.down = True
+        await asyncio.sleep(120)
+        rows = [node.holder.row("kind-3") for node in fleet.running]
+        self.assertTrue(all(row is DEFAULT_ROW for row in rows))
+        for node in fleet.running:
+            node.client.faults.down = False
+        await fleet.seconds_until(lambda: fleet.all_hold(version) and fleet.views_agree(), 60)
+        await fleet.close()
+
+    @paused
+    async def test_partition_with_two_histories_of_reads_heals_to_the_latest(self):
+        fleet = await self.start()
+
+        def is_north(node) -> bool:
+            return node.announcement.data_centre == CENTRES[0]
+
+        fleet.network.is_cut = lambda sender, receiver: is_north(sender) != is_north(receiver)
+        versions = []
+        for weight, is_cut in ((80, False), (81, True), (82, False)):
+            for node in fleet.running:
+                node.client.faults.down = is_north(node) != is_cut
+            await asyncio.sleep(30)
+            text = with_weight(TEXT, "kind-3", weight)
+            versions.append(fleet.write_table(text, f"edit-{weight}"))
+            await asyncio.sleep(30)
+        held = {node.holder.table.version for node in fleet.running}
+        self.assertEqual(held, set(versions[1:]))
+        for node in fleet.running:
+            node.client.faults.down = True
+        fleet.network.is_cut = lambda sender, receiver: False
+        taken = await fleet.seconds_until(lambda: fleet.all_hold(versions[2]), 30)
+        self.assertLessEqual(taken, IN_FORCE_SECONDS)
+        self.assert_never_back(fleet)
+        await fleet.close()
+
+    @paused
+    async def test_unreadable_object_is_refused_and_the_next_edit_takes_over(self):
+        fleet = await self.start(4)
+        version = fleet.running[0].holder.table.version
+        store = fleet.platform.store
+        store.put("tables", "table", {"schema": 9, "rows": "none"}, version)
+        fleet.platform.wake()
+        await asyncio.sleep(10)
+        self.assertTrue(fleet.all_hold(version))
+        broken = store.by_key["tables", "table"].version
+        store.delete("tables", "table", broken)
+        self.assertLessEqual(await self.edit(fleet, 90), IN_FORCE_SECONDS)
+        await fleet.close()
+
+    @paused
+    async def test_only_changed_rows_travel(self):
+        fleet = await self.start()
+        before = {node.instance: node.sent_by_type.copy() for node in fleet.running}
+        await self.edit(fleet, 95)
+        await asyncio.sleep(5)
+        for node in fleet.running:
+            sent = node.sent_by_type - before[node.instance]
+            self.assertEqual(sent["TableUpdate"], 0)
+        await fleet.close()
