--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -67,9 +67,9 @@
     queued: int
     in_flight: int
     limit: int
-    level_rank: int
-    level_fraction: float
+    level: tuple[tuple[int, float], ...]
     draining: bool
+    below: tuple[tuple[str, tuple[tuple[int, float], ...]], ...] = ()
 
 
 class CallAnswer(Message, tag=2):
@@ -142,6 +142,22 @@
     remaining: float
 
 
+class PoisonSuspicions(Message, tag=40):
+    """Tell of requests in flight at a crash; each may run again, alone, after its hold."""
+
+    instance: str
+    crash: str
+    remaining: float
+    fingerprints: list[int]
+    holds: list[float]
+
+
+class PoisonClearance(Message, tag=41):
+    """Tell that a suspected request is innocent."""
+
+    fingerprint: int
+
+
 class Heartbeat(Message, tag=8):
     """Show that the sender lives; the receiver sends it back with ``echo`` set."""
 
@@ -218,6 +234,8 @@
     | TableUpdate
     | Digest
     | PoisonBan
+    | PoisonSuspicions
+    | PoisonClearance
     | Heartbeat
     | Seal
     | SealAnswer
