--- a/bamboojunction/management/load/client.py
+++ b/bamboojunction/management/load/client.py
@@ -44,6 +44,11 @@
         """Return whether the call ran and its upstream succeeded."""
         return self.ending is Ending.RAN and self.status < 400
 
+    def header(self, name: str) -> str:
+        """Return the first header of a name in any case, or nothing."""
+        wanted = name.lower()
+        return next((value for key, value in self.headers if key.lower() == wanted), "")
+
 
 class CallClient:
     """Own the connections to one node."""
