--- a/bamboojunction/core/retries/policy.py
+++ b/bamboojunction/core/retries/policy.py
@@ -20,6 +20,9 @@
         NotRunReason.TOO_LARGE,
     }
 )
+# Refusals by an instance that is leaving or dead. Another attempt goes to another instance and adds
+# no execution, so it costs allowance but nothing of the budget, which an idle router has not got.
+HANDOVER_REASONS = frozenset({NotRunReason.DRAINING, NotRunReason.UNREACHABLE})
 # The caller went away or has no time left.
 FINAL_UNKNOWN_REASONS = frozenset({UnknownReason.CANCELLED, UnknownReason.DEADLINE})
 SERVER_ERROR_STATUS = 500
@@ -65,7 +68,9 @@
         if allowance < 1 or not may_run_again(row, outcome):
             return GiveUp()
         delay = self._delay(outcome)
-        if now + delay >= deadline or not self._budget.spend(now):
+        if now + delay >= deadline:
+            return GiveUp()
+        if not _is_handover(outcome) and not self._budget.spend(now):
             return GiveUp()
         return RetryAfter(delay)
 
@@ -75,6 +80,10 @@
         return told + spread * self._random.random()
 
 
+def _is_handover(outcome: Outcome) -> bool:
+    return isinstance(outcome, NotRun) and outcome.reason in HANDOVER_REASONS
+
+
 def may_run_again(row: Row, outcome: Outcome) -> bool:
     """Return whether the effect of the kind allows another attempt after this outcome."""
     match outcome:
--- a/tests/processes/test_table_faults.py
+++ b/tests/processes/test_table_faults.py
@@ -83,6 +83,7 @@
             await self.fleet.kill_node(name)
             await self.fleet.start_node(name)
             await self.assert_in_force(version, [name], SETTLE_SECONDS)
+            await self.fleet.wait_whole(name)
             answer = await self.fleet.call(name, "occupancy", body=b"x")
             self.assertEqual(answer.outcome, "ran")
 
--- a/tests/retries/test_policy.py
+++ b/tests/retries/test_policy.py
@@ -71,6 +71,13 @@
         policy = RetryPolicy(random.Random(1))
         self.assertEqual(GiveUp(), policy.decide(IDEMPOTENT, LOST, 3, FAR_OFF, 0.0))
 
+    def test_a_refusal_by_a_leaving_or_dead_instance_needs_no_budget(self):
+        policy = RetryPolicy(random.Random(1))
+        for reason in (NotRunReason.DRAINING, NotRunReason.UNREACHABLE):
+            outcome = NotRun(reason)
+            self.assertIsInstance(policy.decide(ONCE, outcome, 1, FAR_OFF, 0.0), RetryAfter)
+            self.assertEqual(GiveUp(), policy.decide(ONCE, outcome, 0, FAR_OFF, 0.0))
+
     def test_unspent_retries_expire(self):
         policy = rich_policy()
         self.assertEqual(GiveUp(), policy.decide(IDEMPOTENT, LOST, 3, FAR_OFF, 10.0))
