--- a/bamboojunction/core/admission/edge.py
+++ b/bamboojunction/core/admission/edge.py
@@ -1,6 +1,6 @@
 """Refusal at the edge: the admission levels of services as one node knows them from answers."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from bamboojunction.core.load import (
@@ -12,12 +12,25 @@
 )
 from bamboojunction.core.outcomes import NotRun, NotRunReason
 
-# A level that is no longer confirmed by answers opens by this much a second.
-REOPENING_PER_SECOND = 0.25
+# A level that is no longer confirmed by answers opens by this factor a second.
+REOPENING_PER_SECOND = 2.0
 LEVEL_LIFE_SECONDS = 4.0
 RETRY_AFTER_SECONDS = 0.5
 
 
+@dataclass(slots=True, frozen=True)
+class _Source:
+    """Name whose answer carried a level.
+
+    ``is_direct`` marks an answer of the service's own gate. ``is_below`` marks an answer to the
+    upstream beside this node, not to a caller that entered here.
+    """
+
+    instance: str
+    is_direct: bool
+    is_below: bool
+
+
 @dataclass(slots=True, frozen=True)
 class _KnownLevel:
     level: AdmissionLevel
@@ -25,8 +38,10 @@
 
     def fraction(self, rank: int, now: float) -> float:
         """Return the fraction of a rank that is admitted, opened by the level's age."""
-        age = now - self.learned_at
-        return min(1.0, self.level.fraction(rank) + age * REOPENING_PER_SECOND)
+        fraction = self.level.fraction(rank)
+        if fraction >= 1.0:
+            return 1.0
+        return min(1.0, fraction * REOPENING_PER_SECOND ** (now - self.learned_at))
 
 
 def _mean_fraction(known: list[_KnownLevel], rank: int, now: float) -> float:
@@ -36,26 +51,33 @@
 class EdgeLevels:
     """Keep the latest level from each source for each service, and refuse actions against them.
 
-    A source is the instance whose answer carried the level. Requests of one service spread over
-    its instances, so the service admits the mean of what its sources admit.
+    Requests of one service spread over its instances, so the service admits the mean of what its
+    sources admit. What the service's own gates answered is taken before what others passed on. A
+    node passes on only what it learned from answers to its own upstream, so that no level goes
+    round between nodes that call each other for their callers.
     """
 
     __slots__ = ("_below_by_instance", "_by_service")
 
     def __init__(self):
-        self._by_service: dict[str, dict[str, _KnownLevel]] = {}
-        self._below_by_instance: dict[str, frozenset[str]] = {}
-
-    def learn(self, service: str, instance: str, report: LoadReport, now: float) -> None:
-        """Take in the load report of an answer."""
-        self._note(service, instance, report.level, now)
+        self._by_service: dict[str, dict[_Source, _KnownLevel]] = {}
+        self._below_by_instance: dict[tuple[str, bool], frozenset[str]] = {}
+
+    def learn(
+        self, service: str, instance: str, report: LoadReport, now: float, depth: int = 0
+    ) -> None:
+        """Take in the load report of an answer to a call at a depth; 0 entered at this node."""
+        if not (self._by_service or report.level.shares or report.below):
+            return
+        is_below = depth > 0
+        self._note(service, _Source(instance, True, is_below), report.level, now)
         told = frozenset(known.service for known in report.below)
-        for reopened in self._below_by_instance.get(instance, frozenset()) - told:
-            self._by_service[reopened].pop(instance, None)
-        if told or instance in self._below_by_instance:
-            self._below_by_instance[instance] = told
+        passed_on = _Source(instance, False, is_below)
+        for reopened in self._below_by_instance.get((instance, is_below), frozenset()) - told:
+            self._by_service[reopened].pop(passed_on, None)
+        self._below_by_instance[(instance, is_below)] = told
         for known in report.below:
-            self._note(known.service, instance, known.level, now)
+            self._note(known.service, passed_on, known.level, now)
 
     def refusal(self, services: Iterable[str], rank: int, action: str, now: float) -> NotRun | None:
         """Return the refusal of a new action, or None when every service admits it."""
@@ -85,7 +107,7 @@
         )
 
     def _level(self, service: str, now: float) -> AdmissionLevel | None:
-        known = self._fresh(service, now)
+        known = self._fresh(service, now, only_below=True)
         ranks = sorted({share.rank for entry in known for share in entry.level.shares})
         if not ranks:
             return None
@@ -93,14 +115,20 @@
             tuple(RankShare(rank, _mean_fraction(known, rank, now)) for rank in ranks)
         )
 
-    def _fresh(self, service: str, now: float) -> list[_KnownLevel]:
-        by_source = self._by_service.get(service)
-        if not by_source:
-            return []
+    def _fresh(self, service: str, now: float, only_below: bool = False) -> list[_KnownLevel]:
+        entries = list(self._fresh_entries(service, now, only_below))
+        direct = [known for source, known in entries if source.is_direct]
+        return direct or [known for _, known in entries]
+
+    def _fresh_entries(
+        self, service: str, now: float, only_below: bool
+    ) -> Iterator[tuple[_Source, _KnownLevel]]:
         oldest = now - LEVEL_LIFE_SECONDS
-        return [known for known in by_source.values() if known.learned_at > oldest]
+        for source, known in self._by_service.get(service, {}).items():
+            if known.learned_at > oldest and (source.is_below or not only_below):
+                yield source, known
 
-    def _note(self, service: str, source: str, level: AdmissionLevel, now: float) -> None:
+    def _note(self, service: str, source: _Source, level: AdmissionLevel, now: float) -> None:
         by_source = self._by_service.get(service)
         if by_source is None:
             # A service that sheds nothing needs no entry, so the usual case costs nothing.
--- a/bamboojunction/core/admission/gate.py
+++ b/bamboojunction/core/admission/gate.py
@@ -63,7 +63,7 @@
         """Admit, queue or refuse a new call."""
         if self._draining:
             return [Refuse(ticket.ticket_id, NotRun(NotRunReason.DRAINING))]
-        self._shedding.update(self._queue.waiting, now)
+        self._update_shedding(now)
         place = action_hash(ticket.action)
         if not self._shedding.admits(ticket.rank, place, ticket.depth):
             return [self._refuse(ticket, NotRunReason.SHED, place)]
@@ -94,6 +94,7 @@
         del self._in_flight[ticket_id]
         if end is ServiceEnd.SUCCEEDED:
             self._service_times.add(ticket.kind, service_seconds, now)
+        self._queue.ended(ticket)
         self._release_kind(ticket)
         return self._fill(now)
 
@@ -104,7 +105,7 @@
 
     def tick(self, now: float) -> list[Decision]:
         """Drop queued calls that can no longer finish in time."""
-        self._shedding.update(self._queue.waiting, now)
+        self._update_shedding(now)
         doomed = list(self._queue.drop(lambda ticket: self._is_doomed(ticket, now)))
         refusals = [self._refuse(ticket, NotRunReason.DEADLINE) for ticket in doomed]
         return [*refusals, *self._fill(now)]
@@ -131,6 +132,10 @@
             draining=self._draining,
         )
 
+    def _update_shedding(self, now: float) -> None:
+        has_free_slot = len(self._in_flight) < self._limit.current(now)
+        self._shedding.update(self._queue.waiting, has_free_slot, now)
+
     def _fill(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         limit = self._limit.current(now)
@@ -169,7 +174,10 @@
         return self._service_times.expected(ticket.kind, now)
 
     def _is_doomed(self, ticket: Ticket, now: float) -> bool:
-        return ticket.deadline - now <= self._cost(ticket, now)
+        remaining = ticket.deadline - now
+        if not self._shedding.sheds_rank(ticket.rank):
+            return remaining <= 0
+        return remaining <= self._service_times.cautious(ticket.kind, now)
 
     def _refuse(self, ticket: Ticket, reason: NotRunReason, place: float | None = None) -> Refuse:
         place = action_hash(ticket.action) if place is None else place
--- a/bamboojunction/core/admission/queue.py
+++ b/bamboojunction/core/admission/queue.py
@@ -19,12 +19,14 @@
     """Hold the waiting calls of one rank and its credit of slot time.
 
     The credit grows by the rank's share of all slot time that is handed out while the rank waits,
-    and shrinks by the slot time that the rank itself takes.
+    and shrinks by the slot time that the rank itself takes. The shares are those among the ranks
+    with work, waiting or running.
     """
 
     rank: int
     weight: int = 1
     waiting: int = 0
+    running: int = 0
     credit: float = 0.0
     deep: _Heap = field(default_factory=list)
     new: _Heap = field(default_factory=list)
@@ -74,13 +76,19 @@
         if line is None:
             return None
         ticket = self._pop_entry(line)
+        line.running += 1
         self._charge(line, max(COST_MIN_SECONDS, cost_of(ticket)))
         self._forget(ticket)
         return ticket
 
+    def ended(self, ticket: Ticket) -> None:
+        """Note that a call that was taken runs no longer."""
+        self._lines[ticket.rank].running -= 1
+
     def refund(self, ticket: Ticket, cost: float) -> None:
         """Give back the credit of a call that was taken but did not run."""
         line = self._lines[ticket.rank]
+        line.running -= 1
         line.credit = min(CREDIT_MAX_SECONDS, line.credit + max(COST_MIN_SECONDS, cost))
 
     def cancel(self, ticket_id: int) -> bool:
@@ -124,7 +132,8 @@
     def clear(self) -> list[Ticket]:
         """Remove and return every call."""
         tickets = list(self._by_ticket.values())
-        self.__init__()
+        for ticket in tickets:
+            self._forget(ticket)
         return tickets
 
     def _heaps(self) -> Iterator[_Heap]:
@@ -164,9 +173,10 @@
         return urgent
 
     def _charge(self, served: RankLine, cost: float) -> None:
-        waiting = [line for line in self._lines.values() if line.waiting]
-        total = sum(line.weight for line in waiting)
-        for line in waiting:
-            gained = line.credit + cost * line.weight / total
-            line.credit = min(CREDIT_MAX_SECONDS, gained)
+        lines = self._lines.values()
+        total = sum(line.weight for line in lines if line.waiting or line.running)
+        for line in lines:
+            if line.waiting:
+                gained = line.credit + cost * line.weight / total
+                line.credit = min(CREDIT_MAX_SECONDS, gained)
         served.credit = max(-CREDIT_MAX_SECONDS, served.credit - cost)
--- a/bamboojunction/core/admission/service_times.py
+++ b/bamboojunction/core/admission/service_times.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 GAIN = 0.1
+DEVIATIONS = 3.0
 UNCONFIRMED_HALF_LIFE_SECONDS = 1.0
 GRACE_SECONDS = 1.0
 
@@ -10,6 +11,7 @@
 @dataclass(slots=True)
 class _Estimate:
     mean: float
+    deviation: float
     measured_at: float
 
 
@@ -29,9 +31,11 @@
         """Take in one measured service time."""
         estimate = self._by_kind.get(kind)
         if estimate is None:
-            self._by_kind[kind] = _Estimate(seconds, now)
+            self._by_kind[kind] = _Estimate(seconds, 0.0, now)
             return
-        estimate.mean += GAIN * (seconds - estimate.mean)
+        error = seconds - estimate.mean
+        estimate.mean += GAIN * error
+        estimate.deviation += GAIN * (abs(error) - estimate.deviation)
         estimate.measured_at = now
 
     def expected(self, kind: str, now: float) -> float:
@@ -39,7 +43,18 @@
         estimate = self._by_kind.get(kind)
         if estimate is None:
             return 0.0
+        return estimate.mean * self._confidence(estimate, now)
+
+    def cautious(self, kind: str, now: float) -> float:
+        """Return the seconds within which most calls of a kind end, 0 when nothing is known."""
+        estimate = self._by_kind.get(kind)
+        if estimate is None:
+            return 0.0
+        seconds = estimate.mean + DEVIATIONS * estimate.deviation
+        return seconds * self._confidence(estimate, now)
+
+    def _confidence(self, estimate: _Estimate, now: float) -> float:
         unconfirmed = now - estimate.measured_at - GRACE_SECONDS
         if unconfirmed <= 0:
-            return estimate.mean
-        return estimate.mean * 0.5 ** (unconfirmed / UNCONFIRMED_HALF_LIFE_SECONDS)
+            return 1.0
+        return 0.5 ** (unconfirmed / UNCONFIRMED_HALF_LIFE_SECONDS)
--- a/bamboojunction/core/admission/shedding.py
+++ b/bamboojunction/core/admission/shedding.py
@@ -1,5 +1,6 @@
 """Control of the fraction of each rank's actions that the gate admits."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bamboojunction.core.load import AdmissionLevel, RankShare
@@ -7,15 +8,17 @@
 INTERVAL_SECONDS = 0.1
 TARGET_DELAY_SECONDS = 0.05
 TARGET_CALLS_MIN = 2.0
-HORIZON_SECONDS = 0.5
+HORIZON_SECONDS = 1.0
+# While a queue is worked off, calls are still admitted at this share of the rate of starts.
+DRAINING_SHARE = 0.5
 LASTING_INTERVALS = 2
 RATE_GAIN = 0.2
 FRACTION_MIN = 0.01
-STEP_DOWN_MIN = 0.8
-STEP_UP_MAX = 1.1
+STEP_DOWN_MIN = 0.7
+STEP_UP_MAX = 1.2
 STEP_UP_IDLE = 1.4
 # Calls from deeper in a chain were admitted at the edge and have cost something already.
-DEEP_MARGIN = 1.25
+DEEP_MARGIN = 1.5
 
 
 @dataclass(slots=True)
@@ -23,7 +26,9 @@
     """Hold the fraction of one rank that is admitted and the rates it is controlled by.
 
     Shedding begins when the queue has not fallen below its target for a while, so that a burst
-    is queued and only a lasting excess is shed.
+    is queued and only a lasting excess is shed. The demand is the rate of admitted calls over the
+    fraction that was admitted, both averaged alike; the fraction follows from what the rank
+    starts and from how far its queue is from the target.
     """
 
     fraction: float = 1.0
@@ -32,25 +37,30 @@
     queue_min: int = 0
     admitted_rate: float = 0.0
     started_rate: float = 0.0
+    fraction_average: float = 1.0
     lasting: int = 0
 
-    def update(self, waiting: int, seconds: float) -> None:
+    def update(self, waiting: int, has_free_slot: bool, seconds: float) -> None:
         """Close an interval and move the fraction."""
         self.admitted_rate += RATE_GAIN * (self.admitted / seconds - self.admitted_rate)
         self.started_rate += RATE_GAIN * (self.started / seconds - self.started_rate)
+        self.fraction_average += RATE_GAIN * (self.fraction - self.fraction_average)
         target = max(TARGET_CALLS_MIN, self.started_rate * TARGET_DELAY_SECONDS)
         self.lasting = self.lasting + 1 if self.queue_min > target else 0
         if self.fraction < 1.0 or self.lasting >= LASTING_INTERVALS:
-            self._move(waiting, target)
+            self._move(waiting, target, has_free_slot and not waiting)
         self.admitted = 0
         self.started = 0
         self.queue_min = waiting
 
-    def _move(self, waiting: int, target: float) -> None:
-        wanted_rate = max(0.0, self.started_rate + (target - waiting) / HORIZON_SECONDS)
-        step = wanted_rate / self.admitted_rate if self.admitted_rate > 0 else STEP_UP_MAX
-        step_max = STEP_UP_MAX if self.queue_min else STEP_UP_IDLE
-        step = min(step_max, max(STEP_DOWN_MIN, step))
+    def _move(self, waiting: int, target: float, is_idle: bool) -> None:
+        correction = (target - waiting) / HORIZON_SECONDS
+        wanted = max(DRAINING_SHARE * self.started_rate, self.started_rate + correction)
+        demand = self.admitted_rate / self.fraction_average
+        step = wanted / demand / self.fraction if demand > 0 else STEP_UP_MAX
+        step = min(STEP_UP_MAX, max(STEP_DOWN_MIN, step))
+        if is_idle:
+            step = STEP_UP_IDLE
         self.fraction = min(1.0, max(FRACTION_MIN, self.fraction * step))
 
 
@@ -69,6 +79,10 @@
         """Return the level that answers carry."""
         return self._level
 
+    def sheds_rank(self, rank: int) -> bool:
+        """Return whether a rank is shed."""
+        return self._level.fraction(rank) < 1.0
+
     @property
     def sheds(self) -> bool:
         """Return whether any rank is shed."""
@@ -89,14 +103,14 @@
         shedder.started += 1
         shedder.queue_min = min(shedder.queue_min, waiting)
 
-    def update(self, waiting_by_rank, now: float) -> None:
-        """Move the fractions if an interval is over; ``waiting_by_rank`` maps a rank to a count."""
+    def update(self, waiting_in: Callable[[int], int], has_free_slot: bool, now: float) -> None:
+        """Move the fractions if an interval is over; ``waiting_in`` counts a rank's queue."""
         if now < self.next_update():
             return
         elapsed = now - self._updated_at
         self._updated_at = now
         for rank, shedder in self._by_rank.items():
-            shedder.update(waiting_by_rank(rank), elapsed)
+            shedder.update(waiting_in(rank), has_free_slot, elapsed)
         shares = sorted(
             (rank, shedder.fraction)
             for rank, shedder in self._by_rank.items()
--- a/devtools/bamboo_bench/policy/node.py
+++ b/devtools/bamboo_bench/policy/node.py
@@ -136,7 +136,7 @@
             )
             node.router.ended(end, now)
             if reply.report is not None:
-                node.edge.learn(sim.call.service, instance, reply.report, now)
+                node.edge.learn(sim.call.service, instance, reply.report, now, sim.call.depth)
             if not self._settled:
                 self._withdraw = None
                 self._excluded |= {instance}
