--- a/devtools/bamboo_bench/policy/baseline.py
+++ b/devtools/bamboo_bench/policy/baseline.py
@@ -6,6 +6,7 @@
 from bamboojunction.core.load import LoadReport
 from bamboojunction.core.membership.view import Announcement
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Ran
+from bamboojunction.core.poison.decisions import RunFreely
 from bamboojunction.core.retries.policy import GiveUp, RetryAfter, RetryDecision
 from bamboojunction.core.routing.router import AttemptEnd, Chosen, RouteRequest
 from bamboojunction.core.table.rows import Row
@@ -112,17 +113,37 @@
 
     __slots__ = ()
 
-    def crashed(self, in_flight: list[int], now: float) -> list:
-        """Ban nothing."""
+    def __init__(self, instance: str):
+        pass
+
+    def admit(self, *_) -> RunFreely:
+        """Let every call run."""
+        return RunFreely()
+
+    def recheck(self, *_) -> None:
+        """Refuse nothing."""
+
+    def started(self, *_) -> None:
+        """Note nothing."""
+
+    def abandoned(self, *_) -> None:
+        """Note nothing."""
+
+    def completed(self, *_) -> list:
+        """Find nothing."""
+        return []
+
+    def crashed(self, *_) -> list:
+        """Find nothing."""
         return []
 
-    def learn(self, ban) -> bool:
-        """Ban nothing."""
-        return False
+    def learn(self, *_) -> list:
+        """Find nothing."""
+        return []
 
-    def is_banned(self, fingerprint: int, now: float) -> bool:
-        """Return False."""
-        return False
+    def crashed_instances(self, fingerprint: int) -> set[str]:
+        """Return no instance."""
+        return set()
 
 
 class NoEdge:
