--- a/Makefile
+++ b/Makefile
@@ -10,12 +10,18 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e . -e devtools
 	touch $@
 
-.PHONY: setup test lint format
+.PHONY: setup test prove lint format
 setup: $(VENV)/installed
 
 test: setup
 	$(BIN)/python -m nose2 --config nose2.cfg
 
+# The long search of the at-most-once protocol; PROVE_MINUTES and PROVE_SEED may be set.
+PROVE_MINUTES ?= 6
+PROVE_SEED ?= 1
+prove: setup
+	$(BIN)/python -m bamboo_bench.once.prove --minutes $(PROVE_MINUTES) --seed $(PROVE_SEED)
+
 lint: setup
 	$(BIN)/black --check --quiet bamboojunction devtools tests || $(BIN)/black --check bamboojunction devtools tests
 	$(BIN)/ruff check bamboojunction devtools tests
--- a/devtools/bamboo_bench/once/prove.py
+++ b/devtools/bamboo_bench/once/prove.py
@@ -10,7 +10,9 @@
 from bamboo_bench.once.world import Violation
 
 STEPS_PER_WALK = 60
-STATES_PER_MINUTE = 30_000
+BREAK_STATES_MAX = 30_000
+# Bounds the memory that the states still to visit take.
+STATES_MAX = 300_000
 
 
 def main() -> int:
@@ -21,20 +23,19 @@
     options = parser.parse_args()
     half_seconds = options.minutes * 30 / len(scenarios())
     failures = [_missed_break(scenario) for scenario in breaks()]
-    failures += [_search(scenario, options.minutes) for scenario in scenarios()]
+    failures += [_search(scenario, half_seconds) for scenario in scenarios()]
     failures += [_walks(scenario, options.seed, half_seconds) for scenario in scenarios()]
     return int(any(failures))
 
 
 def _missed_break(scenario: Scenario) -> bool:
-    result = search(scenario.build(), STATES_PER_MINUTE)
+    result = search(scenario.build(), BREAK_STATES_MAX)
     print(f"break={scenario.name!r} states={result.states} found={result.violation!r}", flush=True)
     return not result.violation
 
 
-def _search(scenario: Scenario, minutes: float) -> bool:
-    states_max = int(minutes * STATES_PER_MINUTE / 2 / len(scenarios()))
-    result = search(scenario.build(), states_max)
+def _search(scenario: Scenario, seconds: float) -> bool:
+    result = search(scenario.build(), STATES_MAX, seconds)
     print(
         f"scenario={scenario.name!r} states={result.states} steps={result.steps} "
         f"complete={result.complete} violation={result.violation!r}",
--- a/devtools/bamboo_bench/once/search.py
+++ b/devtools/bamboo_bench/once/search.py
@@ -1,6 +1,8 @@
 """Search of every interleaving of a small world, breadth first and within its budgets."""
 
+import math
 import pickle
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from hashlib import blake2b
@@ -24,15 +26,16 @@
     outcomes: set[str] = field(default_factory=set)
 
 
-def search(world: World, states_max: int) -> SearchResult:
-    """Visit the states that a world can reach until a property breaks or the bound is met."""
+def search(world: World, states_max: int, seconds_max: float = math.inf) -> SearchResult:
+    """Visit the states that a world can reach until a property breaks or a bound is met."""
     register()
+    ends_at = time.monotonic() + seconds_max
     result = SearchResult()
     frozen = pickle.dumps(world)
     seen = {_digest(frozen)}
     queue: deque[tuple[bytes, tuple]] = deque([(frozen, ())])
     while queue:
-        if result.states >= states_max:
+        if result.states >= states_max or time.monotonic() >= ends_at:
             result.complete = False
             return result
         frozen, trace = queue.popleft()
