--- a/bamboojunction/core/poison/guard.py
+++ b/bamboojunction/core/poison/guard.py
@@ -1,6 +1,7 @@
 """Refusal of requests that crash upstreams."""
 
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bamboojunction.core.outcomes import NotRun, NotRunReason
@@ -83,10 +84,11 @@
         self._completed_at_by_fingerprint: dict[int, float] = {}
         self._runs_by_ticket: dict[int, _Run] = {}
 
-    def admit(self, fingerprint: int, here: bool, now: float) -> Verdict:
+    def admit(self, fingerprint: int, is_quarantine: Callable[[int], bool], now: float) -> Verdict:
         """Decide on a call before it takes a slot.
 
-        ``here`` says whether this is the suspect's quarantine instance.
+        ``is_quarantine`` says whether a suspect may run at this upstream; it is asked for suspects
+        only.
         """
         if self.is_banned(fingerprint, now):
             ban = self._bans_by_fingerprint[fingerprint]
@@ -94,7 +96,7 @@
         suspect = self._suspect(fingerprint, now)
         if suspect is None:
             return RunFreely()
-        if not here:
+        if not is_quarantine(fingerprint):
             retry_after = max(0.0, suspect.hold_until - now)
             return RefuseSuspect(NotRun(NotRunReason.QUARANTINED, retry_after))
         if now < suspect.hold_until:
--- a/devtools/bamboo_bench/policy/policies.py
+++ b/devtools/bamboo_bench/policy/policies.py
@@ -11,6 +11,7 @@
     NoPoisonGuard,
     RoundRobinRouter,
 )
+from bamboo_bench.policy.upstream import COLD_START_SECONDS
 from bamboojunction.core.admission.edge import EdgeLevels
 from bamboojunction.core.admission.gate import Admission
 from bamboojunction.core.poison.guard import PoisonGuard
@@ -29,8 +30,8 @@
     name: str
     admission: Callable[[int, random.Random], Admission]
     router: Callable[[str, random.Random], Router]
-    retries: Callable[[], RetryPolicy] = RetryPolicy
-    guard: Callable[[], PoisonGuard] = PoisonGuard
+    retries: Callable[[random.Random], RetryPolicy] = RetryPolicy
+    guard: Callable[[str], PoisonGuard] = PoisonGuard
     edge: Callable[[], EdgeLevels] = EdgeLevels
     hop_retries: int | None = None
     carries_deadline: bool = True
@@ -38,11 +39,11 @@
 
 
 def _today_admission(slots: int, rng: random.Random) -> Admission:
-    return Admission(slots)
+    return Admission(slots, COLD_START_SECONDS)
 
 
 def _today_router(data_centre: str, rng: random.Random) -> Router:
-    return Router(data_centre)
+    return Router(data_centre, "region", rng)
 
 
 TODAY = Policy("today", _today_admission, _today_router)
@@ -51,7 +52,7 @@
     name="no-layer",
     admission=lambda slots, rng: FifoAdmission(slots),
     router=lambda data_centre, rng: RoundRobinRouter(),
-    retries=HopRetries,
+    retries=lambda rng: HopRetries(),
     guard=NoPoisonGuard,
     edge=NoEdge,
     hop_retries=3,
--- a/devtools/bamboo_bench/policy/world.py
+++ b/devtools/bamboo_bench/policy/world.py
@@ -18,7 +18,8 @@
 from bamboo_bench.policy.upstream import FakeUpstream
 from bamboojunction.core.membership.view import Announcement
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
-from bamboojunction.core.poison.guard import Ban
+from bamboojunction.core.poison.decisions import Finding
+from bamboojunction.core.poison.quarantine import quarantine_instance
 
 
 class World:
@@ -68,11 +69,20 @@
         """Restore the links of a data centre."""
         self._cut_data_centres.discard(data_centre)
 
-    def spread_ban(self, origin: FakeNode, ban: Ban) -> None:
-        """Tell every reachable node of a ban."""
-        for node in self.nodes_by_instance.values():
+    def spread(self, origin: FakeNode, findings: list[Finding]) -> None:
+        """Tell every reachable node of the service of findings."""
+        if not findings:
+            return
+        for node in self.nodes(origin.service):
             if node is not origin and self._is_connected(origin, node):
-                self.clock.call_later(self._one_way(origin, node), node.guard.learn, ban)
+                for finding in findings:
+                    self.clock.call_later(self._one_way(origin, node), node.hear, finding)
+
+    def is_quarantine(self, node: FakeNode, fingerprint: int) -> bool:
+        """Return whether a suspect may run at this node's upstream."""
+        names = [entry.instance for entry in self.announcements(node.service)]
+        avoided = node.guard.crashed_instances(fingerprint)
+        return quarantine_instance(fingerprint, names, avoided) == node.announcement.instance
 
     def transmit(
         self, sender: FakeNode, instance: str, sim: SimCall, answered: Callable[[Reply], None]
--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -56,6 +56,7 @@
     proxy_port: int
     node: asyncio.subprocess.Process | None = None
     upstream: asyncio.subprocess.Process | None = None
+    is_stopping: bool = False
 
     @property
     def caller_address(self) -> str:
@@ -92,6 +93,7 @@
     """Own the processes of a whole example; ``directory`` takes settings, logs and the ledger.
 
     With ``proxied``, nodes reach each other through a fault proxy in this process.
+    ``platform_by_instance`` gives some nodes another address of the platform, a proxy for example.
     """
 
     directory: Path
@@ -101,6 +103,7 @@
     proxied: bool = True
     by_instance: dict[str, RunningInstance] = field(default_factory=dict)
     platform_port: int = 0
+    platform_by_instance: dict[str, str] = field(default_factory=dict)
     _platform: asyncio.subprocess.Process | None = None
     _session: aiohttp.ClientSession | None = None
     _extra: list[asyncio.subprocess.Process] = field(default_factory=list)
@@ -108,7 +111,7 @@
     async def start(self) -> None:
         """Start everything and wait until each node sees all others and the table."""
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        self.platform_port = free_port("127.0.0.1")
+        self.platform_port = self.platform_port or free_port("127.0.0.1")
         await self.start_platform()
         await self.write_table(self.table_text, 0)
         for plan in self.plans:
@@ -201,6 +204,7 @@
         running = self.by_instance[name]
         path = self.directory / f"{name}.ini"
         path.write_text(self._settings_text(running))
+        running.is_stopping = False
         running.node = await self.spawn(
             f"{name}-node", "bamboojunction.management.commands.node", [str(path)]
         )
@@ -262,10 +266,12 @@
             if running.upstream.returncode is not None:
                 await self.start_upstream(name)
             await self.upstream_faults(name)
+            if running.node.returncode is None:
+                self.signal_node(name, signal.SIGCONT)
+            if running.is_stopping:
+                await asyncio.wait_for(running.node.wait(), STOP_SECONDS)
             if running.node.returncode is not None:
                 await self.start_node(name)
-            else:
-                self.signal_node(name, signal.SIGCONT)
         await asyncio.gather(*(self.wait_whole(name) for name in self.by_instance))
 
     async def wait_whole(self, name: str) -> None:
@@ -281,7 +287,9 @@
 
     def signal_node(self, name: str, signal_number: int) -> None:
         """Send a signal to a node's process."""
-        self.by_instance[name].node.send_signal(signal_number)
+        running = self.by_instance[name]
+        running.is_stopping |= signal_number == signal.SIGTERM
+        running.node.send_signal(signal_number)
 
     async def kill_node(self, name: str) -> None:
         """Kill a node's process and wait for its end."""
@@ -310,14 +318,15 @@
 
     def _settings_text(self, running: RunningInstance) -> str:
         plan = running.plan
-        link_port = running.proxy_port if self.proxied else running.link_port
+        platform = f"127.0.0.1:{self.platform_port}"
+        platform = self.platform_by_instance.get(plan.instance, platform)
         return f"""[node]
 instance = {plan.instance}
 service = {plan.service}
 data_centre = {plan.data_centre}
 region = {plan.region}
 link_address = {running.host}:{running.link_port}
-link_advertised_address = {running.host}:{link_port}
+link_advertised_address = {self._peer_address(running)}
 caller_address = {running.caller_address}
 
 [upstream]
@@ -327,12 +336,25 @@
 cold_start_seconds = {plan.cold_start_seconds}
 
 [platform]
-addresses = 127.0.0.1:{self.platform_port}
+addresses = {platform}
 
 [links]
 secret = {LINK_SECRET}
+seeds = {self._seeds(running)}
 {self.extra_settings}"""
 
+    def _seeds(self, running: RunningInstance) -> str:
+        """Return the link addresses of the first other instance of each data centre."""
+        others = [each for each in self.by_instance.values() if each is not running]
+        first_by_data_centre: dict[str, RunningInstance] = {}
+        for each in others:
+            first_by_data_centre.setdefault(each.plan.data_centre, each)
+        return " ".join(self._peer_address(each) for each in first_by_data_centre.values())
+
+    def _peer_address(self, running: RunningInstance) -> str:
+        port = running.proxy_port if self.proxied else running.link_port
+        return f"{running.host}:{port}"
+
     async def spawn_extra(self, log_name: str, module: str, arguments: list[str]) -> None:
         """Start one more process, which ends with the fleet."""
         self._extra.append(await self.spawn(log_name, module, arguments))
--- a/tests/poison/test_guard.py
+++ b/tests/poison/test_guard.py
@@ -22,6 +22,14 @@
 POISON = 666
 
 
+def here(fingerprint: int) -> bool:
+    return True
+
+
+def elsewhere(fingerprint: int) -> bool:
+    return False
+
+
 class Fleet:
     """Connect the guards of a service, whose findings reach the others at once."""
 
@@ -117,7 +125,7 @@
     def test_the_run_that_was_alone_takes_the_blame(self):
         self.fleet.crash_with("a", [POISON, 1], 0.0, 0.1)
         guard = self.fleet.by_name["b"]
-        self.assertEqual(RunAlone(), guard.admit(POISON, True, 1.0))
+        self.assertEqual(RunAlone(), guard.admit(POISON, here, 1.0))
         innocent = self.fleet.start("b", 1, 0.05)
         suspect = self.fleet.start("b", POISON, 1.0)
         self.fleet.crash("b", [innocent, suspect], 1.1)
@@ -140,40 +148,40 @@
         self.guard.crashed(2, 0.4)
 
     def test_others_run_freely(self):
-        self.assertEqual(RunFreely(), self.guard.admit(5, False, 0.5))
+        self.assertEqual(RunFreely(), self.guard.admit(5, elsewhere, 0.5))
 
     def test_a_suspect_waits_until_copies_elsewhere_have_shown_themselves(self):
-        held = self.guard.admit(POISON, True, 0.5)
+        held = self.guard.admit(POISON, here, 0.5)
         self.assertIsInstance(held, HoldSuspect)
         self.assertGreaterEqual(0.5 + held.seconds, 0.8)
-        self.assertEqual(RunAlone(), self.guard.admit(POISON, True, 0.5 + held.seconds))
+        self.assertEqual(RunAlone(), self.guard.admit(POISON, here, 0.5 + held.seconds))
 
     def test_only_one_suspect_runs_at_a_time(self):
-        self.assertEqual(RunAlone(), self.guard.admit(POISON, True, 2.0))
-        self.assertIsInstance(self.guard.admit(7, True, 2.0), HoldSuspect)
-        self.assertIsInstance(self.guard.admit(POISON, True, 2.0), HoldSuspect)
+        self.assertEqual(RunAlone(), self.guard.admit(POISON, here, 2.0))
+        self.assertIsInstance(self.guard.admit(7, here, 2.0), HoldSuspect)
+        self.assertIsInstance(self.guard.admit(POISON, here, 2.0), HoldSuspect)
         self.guard.started(3, POISON, 2.0)
         self.assertEqual([Clearance(POISON)], self.guard.completed(3, 2.1))
-        self.assertEqual(RunAlone(), self.guard.admit(7, True, 2.1))
+        self.assertEqual(RunAlone(), self.guard.admit(7, here, 2.1))
 
     def test_a_suspect_that_never_started_makes_room(self):
-        self.guard.admit(POISON, True, 2.0)
+        self.guard.admit(POISON, here, 2.0)
         self.guard.released(POISON)
-        self.assertEqual(RunAlone(), self.guard.admit(7, True, 2.0))
+        self.assertEqual(RunAlone(), self.guard.admit(7, here, 2.0))
 
     def test_other_instances_refuse_a_suspect(self):
-        refused = self.guard.admit(POISON, False, 2.0)
+        refused = self.guard.admit(POISON, elsewhere, 2.0)
         self.assertIsInstance(refused, RefuseSuspect)
         self.assertEqual(NotRunReason.QUARANTINED, refused.outcome.reason)
 
     def test_suspicion_ends(self):
-        self.assertEqual(RunFreely(), self.guard.admit(POISON, False, 2.0 + SUSPICION_SECONDS))
+        self.assertEqual(RunFreely(), self.guard.admit(POISON, elsewhere, 2.0 + SUSPICION_SECONDS))
 
     def test_a_second_crash_bans(self):
-        self.guard.admit(POISON, True, 2.0)
+        self.guard.admit(POISON, here, 2.0)
         self.guard.started(3, POISON, 2.0)
         self.guard.crashed(3, 2.1)
-        refused = self.guard.admit(POISON, True, 2.2)
+        refused = self.guard.admit(POISON, here, 2.2)
         self.assertEqual(NotRunReason.POISONED, refused.outcome.reason)
 
     def test_nodes_agree_on_the_instance_whatever_the_order(self):
