--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(BIN)/python -m compileall -q -j 0 $(VENV)/lib
 	touch $@
 
-.PHONY: setup test demo lint format
+.PHONY: setup test prove demo lint format
 setup: $(VENV)/installed
 
 test: setup
@@ -22,6 +22,12 @@
 demo: setup
 	$(BIN)/python -m bamboo_standins.demo
 
+# The long search of the at-most-once protocol; PROVE_MINUTES and PROVE_SEED may be set.
+PROVE_MINUTES ?= 6
+PROVE_SEED ?= 1
+prove: setup
+	$(BIN)/python -m bamboo_bench.once.prove --minutes $(PROVE_MINUTES) --seed $(PROVE_SEED)
+
 lint: setup
 	$(BIN)/black --check --quiet bamboojunction devtools tests || $(BIN)/black --check bamboojunction devtools tests
 	$(BIN)/ruff check bamboojunction devtools tests
