Fixed calls that ran with half a body, and a false 'not run' for cancelled calls

When a caller went away within its body, the part that had come became a call; for a keyed kind it outlived the caller and ran. Such a request is now refused before it is read as a call. A call that was cancelled while under way was answered 'not-run' to an upstream that outlived its own call, although it may have run; it is 'unknown' now.

--- a/bamboojunction/callers/app.py
+++ b/bamboojunction/callers/app.py
@@ -1,21 +1,38 @@
 """The HTTP application that callers and the upstream beside the node talk to."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import falcon
 import falcon.asgi
 
 from bamboojunction.callers import headers as names
 from bamboojunction.callers.requests import IncomingCall, RequestReader
-from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Ran, Unknown
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Ran, Unknown, UnknownReason
 from bamboojunction.core.table.rows import Effect
 from bamboojunction.node.calling import CallRouter
 from bamboojunction.node.keyed import KeyedCalls
 from bamboojunction.operators.health import HealthStatus, health_of, render_health
 from bamboojunction.operators.state import NodeState, render_state
 
-RECEIVE_KEY = "bamboojunction.receive"
+CHANNEL_KEY = "bamboojunction.channel"
+
+
+class CallerChannel:
+    """Pass the events of one request on and remember whether its body has ended."""
+
+    __slots__ = ("_receive", "is_body_whole")
+
+    def __init__(self, receive: Callable[[], Awaitable[dict]]):
+        self._receive = receive
+        self.is_body_whole = False
+
+    async def receive(self) -> dict:
+        """Return the next event."""
+        event = await self._receive()
+        if event["type"] == "http.request" and not event.get("more_body", False):
+            self.is_body_whole = True
+        return event
 
 
 class CallSink:
@@ -43,8 +60,8 @@
 
     async def _handle(self, request, response) -> None:
         body = await self._read_body(request)
-        if body is None:
-            self._write(response, NotRun(NotRunReason.TOO_LARGE))
+        if isinstance(body, NotRun):
+            self._write(response, body)
             return
         path = request.relative_uri
         incoming = self._reader.read(request.method, path, request.headers_lower, body)
@@ -57,24 +74,31 @@
         outcome = await self._route_watched(request, incoming.ok())
         self._write(response, outcome)
 
-    async def _read_body(self, request: falcon.asgi.Request) -> bytes | None:
-        length = request.content_length or 0
-        if length > self._body_max_bytes:
-            return None
+    async def _read_body(self, request: falcon.asgi.Request) -> bytes | NotRun:
+        length = request.content_length
+        if length is not None and length > self._body_max_bytes:
+            return NotRun(NotRunReason.TOO_LARGE)
         body = await request.stream.read(self._body_max_bytes + 1)
-        return body if len(body) <= self._body_max_bytes else None
+        if len(body) > self._body_max_bytes:
+            return NotRun(NotRunReason.TOO_LARGE)
+        if len(body) != length and not request.scope[CHANNEL_KEY].is_body_whole:
+            # The caller went away within its body; half a request never runs.
+            return NotRun(NotRunReason.CANCELLED)
+        return body
 
     async def _route_watched(self, request, incoming: IncomingCall) -> Outcome:
         """Route a call and cancel it when its caller goes away."""
         task = asyncio.current_task()
-        watcher = asyncio.create_task(_cancel_on_disconnect(request.scope[RECEIVE_KEY], task))
+        watcher = asyncio.create_task(
+            _cancel_on_disconnect(request.scope[CHANNEL_KEY].receive, task)
+        )
         if incoming.parent is not None:
             incoming.parent.children.add(task)
         try:
             return await self._route(incoming)
         except asyncio.CancelledError:
-            # Nobody reads the answer; the caller went away or its parent call ended.
-            return NotRun(NotRunReason.CANCELLED)
+            # The call may be under way; an upstream that outlives its own call still reads this.
+            return Unknown(UnknownReason.CANCELLED)
         finally:
             watcher.cancel()
             if incoming.parent is not None:
@@ -180,8 +204,9 @@
 
     async def keep_receive(scope, receive, send):
         # The watcher for a caller's disconnect needs the channel that falcon keeps to itself.
-        scope[RECEIVE_KEY] = receive
-        await app(scope, receive, send)
+        channel = CallerChannel(receive)
+        scope[CHANNEL_KEY] = channel
+        await app(scope, channel.receive, send)
 
     return keep_receive
 
