--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(BIN)/python -m compileall -q -j 0 $(VENV)/lib
 	touch $@
 
-.PHONY: setup test prove demo lint format
+.PHONY: setup test prove demo lint format matrix
 setup: $(VENV)/installed
 
 test: setup
@@ -36,3 +36,6 @@
 format: setup
 	$(BIN)/black bamboojunction devtools tests
 	$(BIN)/ruff check --fix bamboojunction devtools tests
+
+matrix: setup
+	$(BIN)/python -m tests.matrix.render
--- a/tests/matrix/render.py
+++ b/tests/matrix/render.py
@@ -1,4 +1,4 @@
-"""Renders the fault matrix from the marks on the tests; run it as ``python -m tests.matrix.render``.
+"""Render the fault matrix from the marks on the tests by ``python -m tests.matrix.render``.
 
 A cell names the tests that prove it, gives the reason why the fault cannot meet the step, or says
 that nothing proves it yet.
