--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(BIN)/python -m compileall -q -j 0 $(VENV)/lib
 	touch $@
 
-.PHONY: setup test prove demo lint format matrix
+.PHONY: setup test prove demo lint format matrix fuzz
 setup: $(VENV)/installed
 
 test: setup
@@ -39,3 +39,6 @@
 
 matrix: setup
 	$(BIN)/python -m tests.matrix.render
+
+fuzz: setup
+	BAMBOO_FUZZ=long $(BIN)/python -m nose2 --config nose2.cfg tests.fuzz
--- /dev/null
+++ b/tests/fuzz/test_decoders.py
@@ -0,0 +1,74 @@
+"""Decoders answer any input with a value or an error, never with an exception."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies as st
+
+import tests.fuzz.profiles  # noqa: F401
+from bamboojunction.conf.loader import load_settings
+from bamboojunction.core.once.keys import ActionKey
+from bamboojunction.core.table.csvfile import parse_table
+from bamboojunction.nodes.codec import TYPE_BY_TAG, decode, encode
+from bamboojunction.nodes.convert import answer_to_reply
+from bamboojunction.nodes.messages import CallAnswer
+from tests.processes.base import TABLE
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary(),
+    lambda inner: st.lists(inner, max_size=6) | st.dictionaries(st.text(), inner, max_size=4),
+    max_leaves=20,
+)
+TAGS = st.sampled_from(sorted(TYPE_BY_TAG)) | st.integers()
+
+
+class FrameTests(unittest.TestCase):
+    @given(st.binary(max_size=400))
+    def test_any_bytes_are_decoded_or_refused(self, frame):
+        decoded = decode(frame)
+        self.assertTrue(decoded.is_ok() or "malformed" in decoded.err())
+
+    @given(TAGS, st.lists(VALUES, max_size=18))
+    def test_any_fields_are_decoded_or_refused(self, tag, fields):
+        decoded = decode(cbor2.dumps([tag, *fields]))
+        if decoded.is_ok():
+            self.assertEqual(decode(encode(decoded.ok())).is_ok(), True)
+
+    def test_deep_nesting_is_refused(self):
+        self.assertTrue(decode(b"\x81" * 100_000).is_err())
+
+    @given(st.integers(), st.integers(), st.text(), st.binary(max_size=20))
+    def test_an_answer_that_makes_no_sense_is_never_not_run(self, verdict, status, reason, body):
+        answer = CallAnswer(1, verdict, status, (), body, reason, 0.0, 0, 0.0, None)
+        reply = answer_to_reply(answer)
+        known = verdict in (0, 1, 2)
+        if not known:
+            self.assertEqual(type(reply.outcome).__name__, "Unknown")
+
+
+class TextTests(unittest.TestCase):
+    @given(st.text(max_size=400))
+    def test_any_table_text_is_parsed_or_refused(self, text):
+        parsed = parse_table(text, 1, "edit")
+        self.assertTrue(parsed.is_ok() or parsed.err())
+
+    @given(st.integers(0, len(TABLE) - 1), st.characters())
+    def test_any_change_of_one_cell_is_parsed_or_refused(self, position, character):
+        text = TABLE[:position] + character + TABLE[position + 1 :]
+        parsed = parse_table(text, 1, "edit")
+        self.assertTrue(parsed.is_ok() or parsed.err())
+
+    @given(st.binary(max_size=300))
+    def test_any_settings_file_is_loaded_or_refused(self, content):
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory, "node.ini")
+            path.write_bytes(content)
+            self.assertTrue(load_settings(path).is_err())
+
+    @given(st.text(max_size=250))
+    def test_a_key_that_parses_renders_as_the_same_text(self, text):
+        key = ActionKey.parse(text)
+        self.assertTrue(key is None or ActionKey.parse(str(key)) == key)
