Added metrics and traces to the path of a call

A call is counted by outcome, reason and rank where it enters; a span is recorded where it enters a node and where a gate serves it. The interface of a hop takes the outcome itself, so that nothing is formatted while traces are off.

--- a/bamboojunction/callers/app.py
+++ b/bamboojunction/callers/app.py
@@ -14,6 +14,8 @@
 from bamboojunction.node.keyed import KeyedCalls
 from bamboojunction.operators.health import HealthStatus, health_of, render_health
 from bamboojunction.operators.state import NodeState, render_state
+from bamboojunction.telemetry.metrics import NO_METRICS, Metrics
+from bamboojunction.telemetry.traces import NO_TRACES, Traces
 
 CHANNEL_KEY = "bamboojunction.channel"
 
@@ -38,11 +40,30 @@
 class CallSink:
     """Take every request outside the node's own pages as a call."""
 
-    __slots__ = ("_body_max_bytes", "_keyed", "_reader", "_router", "in_flight", "is_draining")
+    __slots__ = (
+        "_body_max_bytes",
+        "_keyed",
+        "_loop",
+        "_metrics",
+        "_reader",
+        "_router",
+        "_traces",
+        "in_flight",
+        "is_draining",
+    )
 
     def __init__(
-        self, reader: RequestReader, router: CallRouter, keyed: KeyedCalls, body_max_bytes: int
+        self,
+        reader: RequestReader,
+        router: CallRouter,
+        keyed: KeyedCalls,
+        body_max_bytes: int,
+        metrics: Metrics = NO_METRICS,
+        traces: Traces = NO_TRACES,
     ):
+        self._loop = asyncio.get_running_loop()
+        self._metrics = metrics
+        self._traces = traces
         self._reader = reader
         self._router = router
         self._keyed = keyed
@@ -71,7 +92,7 @@
             response.set_header(names.OUTCOME, "not-run")
             response.set_header(names.REASON, "bad-request")
             return
-        outcome = await self._route_watched(request, incoming.ok())
+        outcome = await self._route_recorded(request, incoming.ok())
         self._write(response, outcome)
 
     async def _read_body(self, request: falcon.asgi.Request) -> bytes | NotRun:
@@ -86,6 +107,19 @@
             return NotRun(NotRunReason.CANCELLED)
         return body
 
+    async def _route_recorded(self, request, incoming: IncomingCall) -> Outcome:
+        """Route a call within a span, and count it if it entered here."""
+        call = incoming.call
+        hop = self._traces.start_hop("call", call.traceparent)
+        call.traceparent = hop.traceparent
+        started_at = self._loop.time()
+        outcome = await self._route_watched(request, incoming)
+        hop.end(outcome)
+        if incoming.parent is None:
+            seconds = self._loop.time() - started_at
+            self._metrics.record_call(outcome, incoming.row.rank, seconds)
+        return outcome
+
     async def _route_watched(self, request, incoming: IncomingCall) -> Outcome:
         """Route a call and cancel it when its caller goes away."""
         task = asyncio.current_task()
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -37,6 +37,8 @@
 from bamboojunction.nodes.server import LinkServer
 from bamboojunction.operators.state import NodeState
 from bamboojunction.platform.http import HttpPlatformClient
+from bamboojunction.telemetry.metrics import Metrics
+from bamboojunction.telemetry.traces import Traces
 from bamboojunction.upstreams.client import UpstreamClient
 
 INCARNATION_BYTES = 6
@@ -101,7 +103,17 @@
             self.links.handlers,
         )
         reader = RequestReader(self.holder, self.running, self.pauses)
-        self.sink = CallSink(reader, self.calls, self.keyed, settings.callers.body_max_bytes)
+        self.metrics = Metrics.from_config(settings)
+        self.traces = Traces.from_config(settings)
+        self.gate.traces = self.traces
+        self.sink = CallSink(
+            reader,
+            self.calls,
+            self.keyed,
+            settings.callers.body_max_bytes,
+            self.metrics,
+            self.traces,
+        )
         host, port = split_address(node.caller_address)
         app = create_app(self.sink, self.keyed, self.state)
         self.caller_server = CallerServer(app, host, port, settings.callers)
@@ -159,6 +171,8 @@
         await self.link_server.close()
         await self.links.close()
         await self.upstream.close()
+        self.metrics.close()
+        await self.traces.close()
 
     def force_stop(self) -> None:
         """Close at once although work is under way: a second signal came during the stop."""
--- a/bamboojunction/node/serving.py
+++ b/bamboojunction/node/serving.py
@@ -30,6 +30,7 @@
 from bamboojunction.core.table.rows import Row
 from bamboojunction.node.contexts import RunningCall, RunningCalls
 from bamboojunction.nodes.replies import GateReply
+from bamboojunction.telemetry.traces import NO_TRACES, Traces
 from bamboojunction.upstreams.client import UpstreamClient, UpstreamReply
 
 
@@ -48,6 +49,7 @@
         "_waiting_by_ticket",
         "is_quarantine",
         "on_findings",
+        "traces",
     )
 
     def __init__(
@@ -69,9 +71,21 @@
         self._timer: asyncio.TimerHandle | None = None
         self.is_quarantine: Callable[[int], bool] = lambda fingerprint: True
         self.on_findings: Callable[[list[Finding]], None] = lambda findings: None
+        self.traces: Traces = NO_TRACES
 
     async def serve(self, call: Call) -> GateReply:
-        """Admit a call, run it at the upstream and return its reply."""
+        """Admit a call, run it at the upstream and return its reply, within a span."""
+        hop = self.traces.start_hop("gate", call.traceparent)
+        call.traceparent = hop.traceparent
+        outcome: Outcome = Unknown(UnknownReason.CANCELLED)
+        try:
+            reply = await self._serve(call)
+            outcome = reply.outcome
+            return reply
+        finally:
+            hop.end(outcome)
+
+    async def _serve(self, call: Call) -> GateReply:
         fingerprint = fingerprint_of(call.kind, call.method, call.path, call.body)
         admitted = await self._admit_fingerprint(call, fingerprint)
         if isinstance(admitted, NotRun):
--- a/bamboojunction/telemetry/metrics.py
+++ b/bamboojunction/telemetry/metrics.py
@@ -35,6 +35,9 @@
     def time(self, name: str, seconds: float) -> None:
         """Add a sample to a timer."""
 
+    def record_call(self, outcome: Outcome, rank: int, seconds: float) -> None:
+        """Count the outcome and the time of a whole call at the edge."""
+
     def flush(self) -> None:
         """Send what was added up."""
 
@@ -42,6 +45,9 @@
         """Send the rest and close."""
 
 
+NO_METRICS = Metrics()
+
+
 class StatsdMetrics(Metrics):
     """Add counts and times up and send them in few packets."""
 
@@ -68,6 +74,11 @@
             self._counts[TIMINGS_LEFT_OUT] += 1
         self._arm()
 
+    def record_call(self, outcome: Outcome, rank: int, seconds: float) -> None:
+        """Count the outcome and the time of a whole call at the edge."""
+        self.count(outcome_metric(outcome, rank))
+        self.time(seconds_metric(rank), seconds)
+
     def flush(self) -> None:
         """Send what was added up; a packet that cannot leave is lost."""
         self._timer = None
--- a/bamboojunction/telemetry/spans.py
+++ b/bamboojunction/telemetry/spans.py
@@ -12,10 +12,13 @@
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from bamboojunction.conf.settings import NodeSettings, Settings
+from bamboojunction.core.outcomes import NotRun, Outcome, Ran, Unknown
 from bamboojunction.telemetry.traces import Hop, Traces
 
 EXPORT_TIMEOUT_SECONDS = 5
 OUTCOME_ATTRIBUTE = "bamboojunction.outcome"
+REASON_ATTRIBUTE = "bamboojunction.reason"
+STATUS_ATTRIBUTE = "http.response.status_code"
 
 
 class RecordedHop(Hop):
@@ -30,9 +33,18 @@
         )
         self._span = span
 
-    def end(self, outcome: str) -> None:
+    def end(self, outcome: Outcome) -> None:
         """End the span with the outcome of the hop."""
-        self._span.set_attribute(OUTCOME_ATTRIBUTE, outcome)
+        match outcome:
+            case Ran(status=status):
+                self._span.set_attribute(OUTCOME_ATTRIBUTE, "ran")
+                self._span.set_attribute(STATUS_ATTRIBUTE, status)
+            case NotRun(reason=reason):
+                self._span.set_attribute(OUTCOME_ATTRIBUTE, "not-run")
+                self._span.set_attribute(REASON_ATTRIBUTE, reason.value)
+            case Unknown(reason=reason):
+                self._span.set_attribute(OUTCOME_ATTRIBUTE, "unknown")
+                self._span.set_attribute(REASON_ATTRIBUTE, reason.value)
         self._span.end()
 
 
--- a/bamboojunction/telemetry/traces.py
+++ b/bamboojunction/telemetry/traces.py
@@ -4,6 +4,7 @@
 """
 
 from bamboojunction.conf.settings import Settings
+from bamboojunction.core.outcomes import Outcome
 
 
 class Hop:
@@ -14,7 +15,7 @@
     def __init__(self, traceparent: str):
         self.traceparent = traceparent
 
-    def end(self, outcome: str) -> None:
+    def end(self, outcome: Outcome) -> None:
         """End the span with the outcome of the hop."""
 
 
@@ -38,3 +39,6 @@
 
     async def close(self) -> None:
         """Export the rest and close."""
+
+
+NO_TRACES = Traces()
--- a/tests/telemetry/test_traces.py
+++ b/tests/telemetry/test_traces.py
@@ -8,6 +8,7 @@
 from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
 
 from bamboojunction.conf.loader import parse_settings
+from bamboojunction.core.outcomes import Ran
 from bamboojunction.telemetry.spans import OUTCOME_ATTRIBUTE, ExportedTraces
 from bamboojunction.telemetry.traces import Traces
 from tests.conf.test_loader import VALID
@@ -25,8 +26,8 @@
     async def test_hops_form_a_chain_under_the_callers_span(self):
         outer = self.traces.start_hop("router", TRACEPARENT)
         inner = self.traces.start_hop("gate", outer.traceparent)
-        inner.end("ran")
-        outer.end("ran")
+        inner.end(Ran(200))
+        outer.end(Ran(200))
         gate, router = self.exporter.get_finished_spans()
         self.assertEqual(f"{router.parent.span_id:016x}", "b7ad6b7169203331")
         self.assertEqual(gate.parent.span_id, router.context.span_id)
@@ -42,14 +43,14 @@
 
     def test_callers_choice_not_to_sample_is_kept(self):
         hop = self.traces.start_hop("router", TRACEPARENT[:-2] + "00")
-        hop.end("ran")
+        hop.end(Ran(200))
         self.assertTrue(hop.traceparent.endswith("-00"))
         self.assertEqual(self.exporter.get_finished_spans(), ())
 
     async def test_trace_passes_through_when_off(self):
         traces = Traces.from_config(self.settings)
         hop = traces.start_hop("router", TRACEPARENT)
-        hop.end("ran")
+        hop.end(Ran(200))
         await traces.close()
         self.assertEqual(hop.traceparent, TRACEPARENT)
 
