Added limits on headers and on slow callers at the caller face

Cause: uvicorn bounds neither the size of headers nor the time in which a request arrives, so a caller could hold memory and connections for good. The protocol now refuses headers over header_max_bytes and closes a request that is not whole within request_seconds.

--- /dev/null
+++ b/bamboojunction/callers/protocol.py
@@ -0,0 +1,77 @@
+"""The HTTP protocol of the caller face, with limits on headers and on slow callers."""
+
+import asyncio
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from bamboojunction.conf.settings import CallerSettings
+
+
+class BoundedProtocol(HttpToolsProtocol):
+    """Refuse requests whose headers are too large and close those that do not arrive in time.
+
+    A subclass made by ``bounded_protocol`` sets the limits.
+    """
+
+    header_max_bytes: int
+    request_seconds: float
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._head_bytes = 0
+        self._in_head = True
+        self._arrival_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Expect a first request in time."""
+        super().connection_made(transport)
+        self._expect_request()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Expect nothing more."""
+        self._end_expectation()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Count the bytes that come before the headers are complete."""
+        if self._in_head:
+            self._head_bytes += len(data)
+        super().data_received(data)
+        if self._in_head and self._head_bytes > self.header_max_bytes:
+            self.send_400_response("Request headers are too large.")
+
+    def on_message_begin(self) -> None:
+        """Expect the rest of the request in time."""
+        super().on_message_begin()
+        self._in_head = True
+        self._expect_request()
+
+    def on_headers_complete(self) -> None:
+        """Stop counting; the body has a limit of its own."""
+        self._in_head = False
+        self._head_bytes = 0
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Note that the whole request arrived."""
+        self._end_expectation()
+        self._in_head = True
+        super().on_message_complete()
+
+    def _expect_request(self) -> None:
+        self._end_expectation()
+        self._arrival_timer = self.loop.call_later(self.request_seconds, self.transport.abort)
+
+    def _end_expectation(self) -> None:
+        if self._arrival_timer is not None:
+            self._arrival_timer.cancel()
+            self._arrival_timer = None
+
+
+def bounded_protocol(settings: CallerSettings) -> type[BoundedProtocol]:
+    """Return the protocol with the limits of the settings."""
+    limits = {
+        "header_max_bytes": settings.header_max_bytes,
+        "request_seconds": settings.request_seconds,
+    }
+    return type("SettingsProtocol", (BoundedProtocol,), limits)
--- a/bamboojunction/callers/server.py
+++ b/bamboojunction/callers/server.py
@@ -6,6 +6,7 @@
 
 import uvicorn
 
+from bamboojunction.callers.protocol import bounded_protocol
 from bamboojunction.conf.settings import CallerSettings
 
 LISTEN_BACKLOG = 1024
@@ -30,7 +31,7 @@
         self._socket = socket.create_server((host, port), backlog=LISTEN_BACKLOG, reuse_port=False)
         config = uvicorn.Config(
             app,
-            http="httptools",
+            http=bounded_protocol(settings),
             ws="none",
             loop="none",
             lifespan="off",
--- a/bamboojunction/conf/settings.py
+++ b/bamboojunction/conf/settings.py
@@ -151,6 +151,12 @@
         unit="connections",
         default=2_000,
     )
+    request_seconds: float = setting(
+        "Time within which a whole request arrives, or its connection is closed.",
+        Decimal(0.1, 600),
+        unit="seconds",
+        default=10.0,
+    )
 
 
 @dataclass(slots=True)
