--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(BIN)/python -m compileall -q -j 0 $(VENV)/lib
 	touch $@
 
-.PHONY: setup test prove demo lint format matrix fuzz
+.PHONY: setup test prove demo lint format matrix fuzz soak
 setup: $(VENV)/installed
 
 test: setup
@@ -42,3 +42,6 @@
 
 fuzz: setup
 	BAMBOO_FUZZ=long $(BIN)/python -m nose2 --config nose2.cfg tests.fuzz
+
+soak: setup
+	$(BIN)/bamboo-bench soak --minutes 5
--- /dev/null
+++ b/devtools/bamboo_bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The long run: an example deployment under restarts, random faults and table edits."""
