Fixed starts of calls that cannot end in time while others wait

Cause: only a shed rank was judged by its measured service times, so deep in a chain, where the hops above throttle, slots went to calls that ended after their deadline.

--- a/bamboojunction/core/admission/gate.py
+++ b/bamboojunction/core/admission/gate.py
@@ -134,7 +134,7 @@
 
     def _update_shedding(self, now: float) -> None:
         has_free_slot = len(self._in_flight) < self._limit.current(now)
-        self._shedding.update(self._queue.waiting, has_free_slot, now)
+        self._shedding.update(self._queue.waiting, has_free_slot, self._service_times.usual, now)
 
     def _fill(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
@@ -175,7 +175,8 @@
 
     def _is_doomed(self, ticket: Ticket, now: float) -> bool:
         remaining = ticket.deadline - now
-        if not self._shedding.sheds_rank(ticket.rank):
+        if not len(self._queue):
+            # A call that displaces no other may try, whatever the chance that it ends in time.
             return remaining <= 0
         return remaining <= self._service_times.cautious(ticket.kind, now)
 
--- a/bamboojunction/core/admission/service_times.py
+++ b/bamboojunction/core/admission/service_times.py
@@ -22,13 +22,15 @@
     every call is dropped as too late, would leave an estimate that nothing corrects.
     """
 
-    __slots__ = ("_by_kind",)
+    __slots__ = ("_by_kind", "usual")
 
     def __init__(self):
         self._by_kind: dict[str, _Estimate] = {}
+        self.usual = 0.0
 
     def add(self, kind: str, seconds: float, now: float) -> None:
-        """Take in one measured service time."""
+        """Take in one measured service time; ``usual`` averages those of all kinds."""
+        self.usual += GAIN * (seconds - self.usual)
         estimate = self._by_kind.get(kind)
         if estimate is None:
             self._by_kind[kind] = _Estimate(seconds, 0.0, now)
--- a/bamboojunction/core/admission/shedding.py
+++ b/bamboojunction/core/admission/shedding.py
@@ -6,15 +6,16 @@
 from bamboojunction.core.load import AdmissionLevel, RankShare
 
 INTERVAL_SECONDS = 0.1
-TARGET_DELAY_SECONDS = 0.05
-TARGET_CALLS_MIN = 2.0
+TARGET_DELAY_SECONDS = 0.1
+TARGET_CALLS_MIN = 3.0
 HORIZON_SECONDS = 1.0
 # While a queue is worked off, calls are still admitted at this share of the rate of starts.
 DRAINING_SHARE = 0.5
-LASTING_INTERVALS = 2
+LASTING_SECONDS_MIN = 0.2
+LASTING_SECONDS_MAX = 0.5
 RATE_GAIN = 0.2
 FRACTION_MIN = 0.01
-STEP_DOWN_MIN = 0.7
+STEP_DOWN_MIN = 0.8
 STEP_UP_MAX = 1.2
 STEP_UP_IDLE = 1.4
 # Calls from deeper in a chain were admitted at the edge and have cost something already.
@@ -38,16 +39,24 @@
     admitted_rate: float = 0.0
     started_rate: float = 0.0
     fraction_average: float = 1.0
-    lasting: int = 0
+    above_target_seconds: float = 0.0
 
-    def update(self, waiting: int, has_free_slot: bool, seconds: float) -> None:
-        """Close an interval and move the fraction."""
+    def update(
+        self, waiting: int, has_free_slot: bool, seconds: float, service_seconds: float
+    ) -> None:
+        """Close an interval and move the fraction.
+
+        A queue has to stay above its target for about a usual service time, since slots that are
+        all taken for one such time are no lasting excess.
+        """
         self.admitted_rate += RATE_GAIN * (self.admitted / seconds - self.admitted_rate)
         self.started_rate += RATE_GAIN * (self.started / seconds - self.started_rate)
         self.fraction_average += RATE_GAIN * (self.fraction - self.fraction_average)
         target = max(TARGET_CALLS_MIN, self.started_rate * TARGET_DELAY_SECONDS)
-        self.lasting = self.lasting + 1 if self.queue_min > target else 0
-        if self.fraction < 1.0 or self.lasting >= LASTING_INTERVALS:
+        is_above = self.queue_min > target
+        self.above_target_seconds = self.above_target_seconds + seconds if is_above else 0.0
+        lasting_seconds = max(LASTING_SECONDS_MIN, min(LASTING_SECONDS_MAX, service_seconds))
+        if self.fraction < 1.0 or self.above_target_seconds >= lasting_seconds:
             self._move(waiting, target, has_free_slot and not waiting)
         self.admitted = 0
         self.started = 0
@@ -79,10 +88,6 @@
         """Return the level that answers carry."""
         return self._level
 
-    def sheds_rank(self, rank: int) -> bool:
-        """Return whether a rank is shed."""
-        return self._level.fraction(rank) < 1.0
-
     @property
     def sheds(self) -> bool:
         """Return whether any rank is shed."""
@@ -103,14 +108,20 @@
         shedder.started += 1
         shedder.queue_min = min(shedder.queue_min, waiting)
 
-    def update(self, waiting_in: Callable[[int], int], has_free_slot: bool, now: float) -> None:
+    def update(
+        self,
+        waiting_in: Callable[[int], int],
+        has_free_slot: bool,
+        service_seconds: float,
+        now: float,
+    ) -> None:
         """Move the fractions if an interval is over; ``waiting_in`` counts a rank's queue."""
         if now < self.next_update():
             return
         elapsed = now - self._updated_at
         self._updated_at = now
         for rank, shedder in self._by_rank.items():
-            shedder.update(waiting_in(rank), has_free_slot, elapsed)
+            shedder.update(waiting_in(rank), has_free_slot, elapsed, service_seconds)
         shares = sorted(
             (rank, shedder.fraction)
             for rank, shedder in self._by_rank.items()
