--- a/bamboojunction/management/commands/node.py
+++ b/bamboojunction/management/commands/node.py
@@ -12,6 +12,7 @@
 import uvloop
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
+from result import Err, Ok, Result
 
 from bamboojunction.checks.builtin import check_settings
 from bamboojunction.checks.messages import has_errors
@@ -23,20 +24,30 @@
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
+EXIT_CANNOT_LISTEN = 3
+HELP = """Runs the node until SIGTERM or SIGINT, which start a graceful stop. The setting
+stop_deadline_seconds says how long that may take, in seconds (default 20).
 
+Exit codes: 0 stopped gracefully, or the settings are valid; 2 bad arguments or settings; 3 the node
+cannot listen on one of its addresses."""
 
-async def run_node(settings: Settings) -> None:
-    """Run a node until SIGTERM or SIGINT asks for a graceful stop."""
-    node = Node(settings)
+
+async def run_node(settings: Settings) -> Result[None, str]:
+    """Run a node until SIGTERM or SIGINT asks for a graceful stop, unless it cannot listen."""
+    try:
+        node = Node(settings)
+        await node.start()
+    except OSError as error:
+        return Err(f"cannot listen: {error}")
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    await node.start()
     await stop.wait()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, node.force_stop)
     await node.stop()
+    return Ok(None)
 
 
 class NodeCommand(Command):
@@ -44,6 +55,7 @@
 
     name = "bamboo-node"
     description = "Run the node of one upstream instance"
+    help = HELP
     arguments = [argument("settings", "Path of the INI settings file")]
     options = [option("check", None, "Check the settings and exit", flag=True)]
 
@@ -63,7 +75,10 @@
             self.line("settings are valid")
             return EXIT_OK
         configure_logs(settings.telemetry)
-        uvloop.run(run_node(settings))
+        ended = uvloop.run(run_node(settings))
+        if ended.is_err():
+            self.line_error(f"{self.argument('settings')}: {ended.err()}")
+            return EXIT_CANNOT_LISTEN
         return EXIT_OK
 
 
--- a/tests/commands/test_arguments.py
+++ b/tests/commands/test_arguments.py
@@ -1,5 +1,6 @@
 """Bad arguments give one clear line and exit code 2."""
 
+import socket
 import tempfile
 import unittest
 from pathlib import Path
@@ -75,3 +76,11 @@
         path = self.write(VALID.replace(":7101", ":7102"))
         self.assertEqual(self.run_command(NodeCommand(), path, "--check"), 2)
         self.assertIn("error addresses.E002", self.error.fetch())
+
+    def test_address_in_use_gives_one_line(self):
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            path = self.write(VALID.replace("127.0.0.1:7102", address))
+            self.assertEqual(self.run_command(NodeCommand(), path), 3)
+        last_line = self.error.fetch().splitlines()[-1]
+        self.assertTrue(last_line.startswith(f"{path}: cannot listen: "), last_line)
