--- /dev/null
+++ b/devtools/bamboo_bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""The slopes that docs/CAPACITY.md is worked out from."""
--- /dev/null
+++ b/devtools/bamboo_bench/capacity/links.py
@@ -0,0 +1,61 @@
+"""Memory of open links, against their number."""
+
+import asyncio
+
+from bamboo_standins.fleet import free_port
+
+from bamboo_bench.capacity.slopes import Point, Slope
+from bamboo_bench.path.chains import resident_bytes
+from bamboojunction.conf.settings import LinkSettings
+from bamboojunction.core.outcomes import Ran
+from bamboojunction.nodes.handshake import Identity
+from bamboojunction.nodes.links import Handlers, LinkPool
+from bamboojunction.nodes.messages import CallRequest
+from bamboojunction.nodes.replies import GateReply
+from bamboojunction.nodes.server import LinkServer
+
+COMMAND = "bamboo-bench capacity --part links"
+HOST = "127.0.0.1"
+LINKS = 200
+SIZES = (25, 50, 100, LINKS)
+SECRET = b"capacity bench secret"
+
+
+def measure() -> list[Slope]:
+    """Return the slope of memory; both ends of each link are in this process."""
+    points = asyncio.run(_measure())
+    return [Slope("both ends of a link", "kB", "link", points, LINKS, None, COMMAND)]
+
+
+async def _serve(call: CallRequest) -> GateReply:
+    return GateReply(Ran(200))
+
+
+async def _measure() -> tuple[Point, ...]:
+    settings = LinkSettings()
+    servers = []
+    pool = LinkPool(Identity("peer", "incarnation", SECRET), settings, HOST)
+    points = []
+    started_at = _resident_kilobytes()
+    for size in SIZES:
+        while len(servers) < size:
+            servers.append(await _open(pool, settings, len(servers)))
+        points.append(Point(size, _resident_kilobytes() - started_at))
+    await pool.close()
+    for server in servers:
+        await server.close()
+    return tuple(points)
+
+
+async def _open(pool: LinkPool, settings: LinkSettings, number: int) -> LinkServer:
+    identity = Identity(f"server-{number}", "incarnation", SECRET)
+    server = LinkServer(identity, settings, _serve, lambda seal: None, Handlers({}))
+    port = free_port(HOST)
+    await server.start(HOST, port)
+    fields = ("", "", "", 5.0, 0, 0, "", 0, "GET", "/", (), b"", "")
+    await pool.request(f"{HOST}:{port}", CallRequest(pool.next_id(), 0, *fields))
+    return server
+
+
+def _resident_kilobytes() -> float:
+    return resident_bytes("self") / 1000
--- /dev/null
+++ b/devtools/bamboo_bench/capacity/memory.py
@@ -0,0 +1,77 @@
+"""Memory of the decisions' state, by the allocations that hold it."""
+
+import gc
+import random
+import tracemalloc
+from collections.abc import Callable
+
+from bamboo_bench.capacity.slopes import Point, Slope
+from bamboojunction.core.membership.view import Announcement, MembershipView
+from bamboojunction.core.routing.router import Router
+from bamboojunction.core.table.csvfile import parse_table
+
+COMMAND = "bamboo-bench capacity --part memory"
+NODES = 950
+SERVICES = 170
+DATA_CENTRES = 5
+ROWS = 400
+HEADER = "kind,rank,weight,effect,deadline_ms,retries,slots_max,services"
+
+
+def measure() -> list[Slope]:
+    """Return the slopes of the view with the router, and of the table."""
+    sizes = (50, 200, 500, 950)
+    view = tuple(Point(size, _kilobytes(lambda size=size: _view(size))) for size in sizes)
+    rows = (10, 50, 100, 200, ROWS)
+    table = tuple(Point(size, _kilobytes(lambda size=size: _table(size))) for size in rows)
+    return [
+        Slope("view and router", "kB", "known node", view, NODES, None, COMMAND),
+        Slope("table", "kB", "row", table, ROWS, None, COMMAND),
+    ]
+
+
+def announcements(count: int) -> list[Announcement]:
+    """Return announcements as the size to design for has them."""
+    return [
+        Announcement(
+            instance=f"service-{number % SERVICES}-{number}",
+            incarnation=f"{random.Random(number).getrandbits(48):012x}",
+            service=f"service-{number % SERVICES}",
+            data_centre=f"data-centre-{number % DATA_CENTRES}",
+            region=f"region-{number % 2}",
+            address=f"10.{number % DATA_CENTRES}.{number // 250}.{number % 250}:7101",
+            started_at=1_700_000_000.0 + number,
+        )
+        for number in range(count)
+    ]
+
+
+def _view(count: int):
+    view = MembershipView()
+    router = Router("data-centre-0", "region-0", random.Random(1))
+    for announcement in announcements(count):
+        view.merge(announcement)
+    for service in view.take_changed_services():
+        router.update(service, view.serving(service))
+    return view, router
+
+
+def _table(rows: int):
+    lines = [
+        f"kind-{number},{number % 5 + 1},10,idempotent,2000,2,0,service-{number}"
+        for number in range(rows)
+    ]
+    return parse_table("\n".join([HEADER, *lines]), 1, "edit").unwrap()
+
+
+def _kilobytes(build: Callable[[], object]) -> float:
+    """Return what an object holds on to."""
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    built = build()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del built
+    return (after - before) / 1000
--- a/devtools/bamboo_bench/command.py
+++ b/devtools/bamboo_bench/command.py
@@ -10,6 +10,7 @@
     "policy": "bamboo_bench.policy.command:PolicyCommand",
     "state": "bamboo_bench.state.command:StateCommand",
     "path": "bamboo_bench.path.command:PathCommand",
+    "capacity": "bamboo_bench.capacity.command:CapacityCommand",
     "soak": "bamboo_bench.soak.command:SoakCommand",
 }
 
--- a/devtools/bamboo_bench/path/chains.py
+++ b/devtools/bamboo_bench/path/chains.py
@@ -21,7 +21,7 @@
     system: float
 
     @classmethod
-    def of_process(cls, process_id: int) -> "ProcessorTime":
+    def of_process(cls, process_id: int | str) -> "ProcessorTime":
         """Read the time of a process from the kernel."""
         fields = Path(f"/proc/{process_id}/stat").read_text().rpartition(")")[2].split()
         user, system = int(fields[11]), int(fields[12])
@@ -33,7 +33,7 @@
         return self.user + self.system
 
 
-def resident_bytes(process_id: int) -> int:
+def resident_bytes(process_id: int | str) -> int:
     """Return the resident memory of a process."""
     pages = int(Path(f"/proc/{process_id}/statm").read_text().split()[1])
     return pages * os.sysconf("SC_PAGE_SIZE")
