--- /dev/null
+++ b/bamboojunction/core/retries/truth.py
@@ -0,0 +1,16 @@
+"""The outcome of a call that was attempted more than once."""
+
+from dataclasses import replace
+
+from bamboojunction.core.outcomes import NotRun, Outcome
+
+
+def outcome_of_all(earlier: Outcome | None, last: Outcome) -> Outcome:
+    """Return what is true of all attempts together.
+
+    When the last attempt was refused but an earlier one may have run, "not run" would be a lie;
+    the earlier outcome stands, with the allowance that is left now.
+    """
+    if earlier is None or isinstance(earlier, NotRun) or not isinstance(last, NotRun):
+        return last
+    return replace(earlier, allowance_left=last.allowance_left)
--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -15,6 +15,7 @@
 )
 from bamboojunction.core.poison.fingerprints import suspect_after
 from bamboojunction.core.retries.policy import GiveUp, RetryAfter, RetryPolicy
+from bamboojunction.core.retries.truth import outcome_of_all
 from bamboojunction.core.routing.router import AttemptEnd, Chosen, Router, RouteRequest
 from bamboojunction.core.table.rows import Effect, Row
 from bamboojunction.nodes.convert import answer_to_reply, call_to_request
@@ -47,12 +48,14 @@
     sends: KeyedSends | None
     excluded: frozenset[str] = frozenset()
     suspect: int | None = None
+    earlier: Outcome | None = None
 
     def note(self, call: Call, outcome: Outcome, instance: str | None) -> None:
         """Learn from an attempt that another one follows."""
         if instance is not None:
             self.excluded |= {instance}
         self.suspect = suspect_after(call, outcome) or self.suspect
+        self.earlier = outcome_of_all(self.earlier, outcome)
 
 
 class CallRouter:
@@ -86,7 +89,7 @@
             decision = policy.decide(row, outcome, outcome.allowance_left, call.deadline, now)
             match decision:
                 case GiveUp():
-                    return outcome
+                    return outcome_of_all(progress.earlier, outcome)
                 case RetryAfter(delay=delay):
                     if sends is not None and not sends.may_resend(outcome):
                         return outcome
--- a/devtools/bamboo_bench/policy/node.py
+++ b/devtools/bamboo_bench/policy/node.py
@@ -26,6 +26,7 @@
 from bamboojunction.core.poison.fingerprints import fingerprint_of, suspect_after
 from bamboojunction.core.retries.allowance import AllowancePool
 from bamboojunction.core.retries.policy import GiveUp, RetryAfter
+from bamboojunction.core.retries.truth import outcome_of_all
 from bamboojunction.core.routing.router import AttemptEnd, Chosen, RouteRequest
 from bamboojunction.core.table.rows import Effect, Row
 
@@ -75,6 +76,7 @@
 
     __slots__ = (
         "_done",
+        "_earlier",
         "_excluded",
         "_node",
         "_settled",
@@ -90,6 +92,7 @@
         self._done = done
         self._excluded: frozenset[str] = frozenset()
         self._suspect: int | None = None
+        self._earlier: Outcome | None = None
         self._settled = False
         self._withdraw: Callable[[], None] | None = None
         self._timer = node.clock.call_at(sim.call.deadline, self._expire)
@@ -168,8 +171,9 @@
             allowance = sim.call.allowance
         match policy.decide(sim.row, outcome, allowance, sim.call.deadline, now):
             case GiveUp():
-                self._finish(outcome)
+                self._finish(outcome_of_all(self._earlier, outcome))
             case RetryAfter(delay=delay):
+                self._earlier = outcome_of_all(self._earlier, outcome)
                 sim.call.allowance = allowance - 1
                 self._suspect = suspect_after(sim.call, outcome) or self._suspect
                 node.clock.call_later(delay, self.attempt)
@@ -336,7 +340,8 @@
             return self.refuse(refusal)
         node.guard.started(self.ticket_id, self.fingerprint, node.clock.now)
         self.sim.record.executions += 1
-        node.world.ledger.count_execution(self.sim.attempt, node.service)
+        if not node.upstream.is_down:
+            node.world.ledger.count_execution(self.sim.attempt, node.service)
         self._execution = Execution(self, node, self.sim)
         node.executions.add(self._execution)
         self._execution.start()
