--- a/devtools/bamboo_bench/policy/clients.py
+++ b/devtools/bamboo_bench/policy/clients.py
@@ -8,7 +8,7 @@
 from bamboo_bench.policy.node import SimCall, has_succeeded
 from bamboo_bench.policy.world import World
 from bamboojunction.core.calls import Call
-from bamboojunction.core.outcomes import Outcome
+from bamboojunction.core.outcomes import NotRun, Outcome
 
 CLIENT_RETRY_SECONDS = 0.2
 
@@ -92,6 +92,7 @@
         clock = self._world.clock
 
         def answered(outcome: Outcome) -> None:
+            attempt.refused = isinstance(outcome, NotRun)
             self._world.ledger.end_try(attempt, has_succeeded(outcome))
             clock.call_later(one_way, self._tried, spec, record, body, outcome)
 
--- a/devtools/bamboo_bench/policy/ledger.py
+++ b/devtools/bamboo_bench/policy/ledger.py
@@ -39,11 +39,15 @@
 
 @dataclass(slots=True)
 class TryRecord:
-    """Hold the slot time that one try of a request took; it is useful if the try succeeds."""
+    """Hold the slot time that one try of a request took; it is useful if the try succeeds.
+
+    ``refused`` says that the client was told "not run".
+    """
 
     rank: int
     kind: str
     ended: bool = False
+    refused: bool = False
     executions_by_service: dict[str, int] = field(default_factory=dict)
     spent: list[tuple[str, float, float]] = field(default_factory=list)
 
