--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(BIN)/python -m compileall -q -j 0 $(VENV)/lib
 	touch $@
 
-.PHONY: setup test prove demo lint format matrix fuzz soak
+.PHONY: setup test prove demo lint format matrix fuzz soak capacity
 setup: $(VENV)/installed
 
 test: setup
@@ -45,3 +45,6 @@
 
 soak: setup
 	$(BIN)/bamboo-bench soak --minutes 5
+
+capacity: setup
+	$(BIN)/bamboo-bench capacity --write
