--- a/bamboojunction/core/admission/gate.py
+++ b/bamboojunction/core/admission/gate.py
@@ -69,7 +69,10 @@
             return [self._refuse(ticket, NotRunReason.SHED, place)]
         if self._is_doomed(ticket, now):
             return [self._refuse(ticket, NotRunReason.DEADLINE, place)]
-        if self._queue.waiting(ticket.rank) >= self._queue_max:
+        waiting = self._queue.waiting(ticket.rank)
+        if self._shedding.waits_too_long(ticket.rank, waiting):
+            return [self._refuse(ticket, NotRunReason.SHED, place)]
+        if waiting >= self._queue_max:
             return [self._refuse(ticket, NotRunReason.FULL, place)]
         self._shedding.note_admitted(ticket.rank)
         self._queue.push(ticket)
--- a/bamboojunction/core/admission/shedding.py
+++ b/bamboojunction/core/admission/shedding.py
@@ -8,6 +8,7 @@
 INTERVAL_SECONDS = 0.1
 TARGET_DELAY_SECONDS = 0.1
 TARGET_CALLS_MIN = 3.0
+WAIT_SECONDS_MAX = 0.5
 HORIZON_SECONDS = 1.0
 # While a queue is worked off, calls are still admitted at this share of the rate of starts.
 DRAINING_SHARE = 0.5
@@ -88,6 +89,17 @@
         """Return the level that answers carry."""
         return self._level
 
+    def waits_too_long(self, rank: int, waiting: int) -> bool:
+        """Return whether one more call of a shed rank would wait longer than is worth a slot.
+
+        A call that waits here holds a slot at every hop above.
+        """
+        shedder = self._by_rank.get(rank)
+        if shedder is None or shedder.fraction >= 1.0:
+            return False
+        calls_max = max(TARGET_CALLS_MIN, shedder.started_rate * WAIT_SECONDS_MAX)
+        return waiting >= calls_max
+
     @property
     def sheds(self) -> bool:
         """Return whether any rank is shed."""
--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+from bamboojunction.core.admission.edge import EdgeLevels
 from bamboojunction.core.calls import Call
 from bamboojunction.core.membership.view import MembershipView
 from bamboojunction.core.outcomes import (
@@ -58,7 +59,7 @@
 class CallRouter:
     """Route calls to gates, the one beside this node among them."""
 
-    __slots__ = ("_gate", "_instance", "_links", "_loop", "_policies", "_router", "_view")
+    __slots__ = ("_edge", "_gate", "_instance", "_links", "_loop", "_policies", "_router", "_view")
 
     def __init__(
         self,
@@ -67,7 +68,9 @@
         view: MembershipView,
         links: LinkPool,
         gate: Gate,
+        edge: EdgeLevels,
     ):
+        self._edge = edge
         self._instance = instance
         self._router = router
         self._view = view
@@ -125,6 +128,9 @@
         self, call: Call, row: Row, progress: _Progress
     ) -> tuple[Outcome, str | None]:
         now = self._loop.time()
+        refusal = self._refusal_at_edge(call, row, now)
+        if refusal is not None:
+            return replace(refusal, allowance_left=call.allowance), None
         request = RouteRequest(
             call.service,
             call.kind,
@@ -147,6 +153,12 @@
             case NotRun() as refusal:
                 return replace(refusal, allowance_left=call.allowance), None
 
+    def _refusal_at_edge(self, call: Call, row: Row, now: float) -> NotRun | None:
+        """Refuse a new call that a service of its row would shed; deeper calls go on."""
+        if call.depth:
+            return None
+        return self._edge.refusal(row.services, row.rank, call.action, now)
+
     async def _send_tracked(self, instance: str, call: Call) -> Outcome:
         started = self._loop.time()
         self._router.sent(instance, call.kind, started)
@@ -164,4 +176,6 @@
                 now - started,
             )
             self._router.ended(end, now)
+            if reply.report is not None:
+                self._edge.learn(call.service, instance, reply.report, now, call.depth)
         return reply.outcome
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -82,7 +82,14 @@
         self.gate.on_findings = news.tell
         gate_id = f"{node.instance}/{incarnation}"
         self.keyed_gate = KeyedGate(self.gate, GateRecords(), gate_id)
-        self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.keyed_gate)
+        self.calls = CallRouter(
+            node.instance,
+            self.router,
+            self.view,
+            self.links,
+            self.keyed_gate,
+            self.gate.edge,
+        )
         questions = GateQuestions(self.links, self.view, self.keyed_gate)
         home = Home(node.instance, incarnation)
         self.keyed = KeyedCalls(home, self.calls, self.view, self.links, questions)
--- a/bamboojunction/node/serving.py
+++ b/bamboojunction/node/serving.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from bamboojunction.core.admission.edge import EdgeLevels
 from bamboojunction.core.admission.gate import (
     Admission,
     Decision,
@@ -47,6 +48,7 @@
         "_running",
         "_timer",
         "_waiting_by_ticket",
+        "edge",
         "is_quarantine",
         "on_findings",
         "traces",
@@ -72,6 +74,7 @@
         self.is_quarantine: Callable[[int], bool] = lambda fingerprint: True
         self.on_findings: Callable[[list[Finding]], None] = lambda findings: None
         self.traces: Traces = NO_TRACES
+        self.edge = EdgeLevels()
 
     async def serve(self, call: Call) -> GateReply:
         """Admit a call, run it at the upstream and return its reply, within a span."""
@@ -136,6 +139,12 @@
         """Return the gate's load."""
         return self._admission.report(self._loop.time())
 
+    def _report_to(self, call: Call) -> LoadReport:
+        """Return the load with the levels of the services that the call's kind reaches below."""
+        services = self._holder.row(call.kind).services
+        below = self.edge.export(services, self._loop.time())
+        return replace(self.report(), below=below) if below else self.report()
+
     def _ticket(self, call: Call, row: Row) -> Ticket:
         return Ticket(
             ticket_id=next(self._ids),
@@ -184,7 +193,7 @@
             left = self._running.end(running)
             self._note_end(ticket.ticket_id, outcome)
             self._finish(ticket.ticket_id, end, seconds)
-        return self._replied(reply, left)
+        return self._replied(call, reply, left)
 
     def _upstream_headers(self, running: RunningCall) -> list[tuple[str, str]]:
         call = running.call
@@ -242,8 +251,8 @@
         self._carry_out(self._admission.tick(self._loop.time()))
 
     def _refused(self, call: Call, outcome: NotRun) -> GateReply:
-        return GateReply(replace(outcome, allowance_left=call.allowance), self.report())
+        return GateReply(replace(outcome, allowance_left=call.allowance), self._report_to(call))
 
-    def _replied(self, reply: UpstreamReply, left: int) -> GateReply:
+    def _replied(self, call: Call, reply: UpstreamReply, left: int) -> GateReply:
         outcome: Outcome = replace(reply.outcome, allowance_left=left)
-        return GateReply(outcome, self.report(), reply.seconds)
+        return GateReply(outcome, self._report_to(call), reply.seconds)
