--- a/bamboojunction/core/membership/peers.py
+++ b/bamboojunction/core/membership/peers.py
@@ -1,5 +1,6 @@
 """The few peers that a node exchanges with."""
 
+import itertools
 import random
 
 from bamboojunction.core.membership.liveness import Liveness
@@ -39,8 +40,8 @@
         monitored = successors[:MONITORS]
         silent = sum(self._is_silent(name, now) for name in monitored)
         # Others further along the ring take the place of those that do not answer.
-        stand_ins = [name for name in successors[MONITORS:] if not self._is_silent(name, now)]
-        near = monitored + stand_ins[:silent]
+        answering = (name for name in successors[MONITORS:] if not self._is_silent(name, now))
+        near = monitored + list(itertools.islice(answering, silent))
         self._refresh_far(near, now)
         return near + list(self._far_until)
 
--- a/bamboojunction/core/membership/ring.py
+++ b/bamboojunction/core/membership/ring.py
@@ -15,13 +15,14 @@
 class Ring:
     """Order the present instances of one data centre; recomputed when the view changes."""
 
-    __slots__ = ("_data_centre", "_places", "_revision", "_view")
+    __slots__ = ("_data_centre", "_places", "_revision", "_successors", "_view")
 
     def __init__(self, view: MembershipView, data_centre: str):
         self._view = view
         self._data_centre = data_centre
         self._revision = -1
         self._places: list[tuple[int, str]] = []
+        self._successors: dict[str, list[str]] = {}
 
     def instances(self) -> list[str]:
         """Return all instances in the order of the ring."""
@@ -29,9 +30,12 @@
 
     def successors(self, instance: str) -> list[str]:
         """Return the others in the order in which they follow an instance."""
-        names = [name for _, name in self._current()]
-        place = bisect.bisect_right(self._places, (_hash(instance), instance))
-        return [name for name in names[place:] + names[:place] if name != instance]
+        places = self._current()
+        if instance not in self._successors:
+            place = bisect.bisect_right(places, (_hash(instance), instance))
+            names = [name for _, name in places[place:] + places[:place] if name != instance]
+            self._successors[instance] = names
+        return self._successors[instance]
 
     def monitored_by(self, instance: str) -> list[str]:
         """Return the instances that an instance watches."""
@@ -48,6 +52,7 @@
     def _current(self) -> list[tuple[int, str]]:
         if self._revision != self._view.revision:
             self._revision = self._view.revision
+            self._successors.clear()
             self._places = sorted(
                 (_hash(entry.instance), entry.instance)
                 for entry in self._view.present()
--- a/bamboojunction/core/membership/view.py
+++ b/bamboojunction/core/membership/view.py
@@ -1,5 +1,6 @@
 """The view of the upstream instances that have announced themselves."""
 
+import struct
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
@@ -8,9 +9,9 @@
 # The platform's collection of announcements, an object for each instance.
 COLLECTION = "upstreams"
 BUCKETS = 64
-BUCKET_HASH_BITS = 32
 # A superseding start time is this much later than the one it replaces.
 START_STEP_SECONDS = 0.001
+_PACKED_HASHES = struct.Struct(f">{BUCKETS}I")
 
 
 class InstanceState(StrEnum):
@@ -59,13 +60,22 @@
     instances are not part of them, so that two views agree however long each remembers.
     """
 
-    __slots__ = ("_changed_services", "by_instance", "hashes", "revision")
+    __slots__ = (
+        "_changed_services",
+        "_hashed_revision",
+        "_total_hash",
+        "by_instance",
+        "hashes",
+        "revision",
+    )
 
     def __init__(self):
         self.by_instance: dict[str, Announcement] = {}
         self.hashes = [0] * BUCKETS
         self.revision = 0
         self._changed_services: set[str] = set()
+        self._hashed_revision = -1
+        self._total_hash = 0
 
     def merge(self, announcement: Announcement) -> bool:
         """Take in an announcement and return whether it was news."""
@@ -101,8 +111,10 @@
 
     def total_hash(self) -> int:
         """Return one hash of all instances that are not gone."""
-        packed = b"".join(value.to_bytes(4, "big") for value in self.hashes)
-        return xxhash.xxh3_64_intdigest(packed) >> 1
+        if self._hashed_revision != self.revision:
+            self._hashed_revision = self.revision
+            self._total_hash = xxhash.xxh3_64_intdigest(_PACKED_HASHES.pack(*self.hashes)) >> 1
+        return self._total_hash
 
     def in_buckets(self, buckets: frozenset[int]) -> list[Announcement]:
         """Return the instances of some buckets that are not gone."""
--- a/bamboojunction/core/table/holder.py
+++ b/bamboojunction/core/table/holder.py
@@ -18,10 +18,11 @@
     the way by which a version arrives.
     """
 
-    __slots__ = ("_recent", "table")
+    __slots__ = ("_delta_by_base", "_recent", "table")
 
     def __init__(self):
         self.table = Table()
+        self._delta_by_base: dict[int, Delta] = {}
         self._recent: deque[Table] = deque([self.table], maxlen=RECENT_VERSIONS)
 
     def offer(self, table: Table) -> bool:
@@ -30,6 +31,7 @@
             return False
         self.table = table
         self._recent.append(table)
+        self._delta_by_base.clear()
         return True
 
     def offer_delta(self, delta: Delta) -> Result[Table, DeltaFailure]:
@@ -38,10 +40,14 @@
 
     def delta_from(self, version: int) -> Delta | None:
         """Return the delta from an older version, or None if the whole table has to travel."""
+        if version in self._delta_by_base:
+            return self._delta_by_base[version]
         base = next((table for table in self._recent if table.version == version), None)
         if base is None or base.version >= self.table.version:
             return None
-        return delta_between(base, self.table)
+        delta = delta_between(base, self.table)
+        self._delta_by_base[version] = delta
+        return delta
 
     def row(self, kind: str) -> Row:
         """Return the row in force for a kind."""
--- a/bamboojunction/core/table/render.py
+++ b/bamboojunction/core/table/render.py
@@ -1,12 +1,16 @@
 """The canonical text of a table."""
 
 import csv
+import functools
 import io
 
 import xxhash
 
 from bamboojunction.core.table.columns import COLUMN_NAMES, cells_of
-from bamboojunction.core.table.rows import Table
+from bamboojunction.core.table.rows import Row, Table
+
+# Sums of row hashes wrap around here, so that they fit in a link message.
+HASH_RANGE = 2**63
 
 
 def render_table(table: Table) -> str:
@@ -22,5 +26,11 @@
 
 
 def content_hash(table: Table) -> int:
-    """Return a hash of the rows that does not depend on version or edit."""
-    return xxhash.xxh3_64_intdigest(render_table(table).encode())
+    """Return a hash of the rows that does not depend on version, edit or order."""
+    return sum(_row_hash(row) for row in table.by_kind.values()) % HASH_RANGE
+
+
+@functools.lru_cache(maxsize=8_192)
+def _row_hash(row: Row) -> int:
+    text = "\x1f".join(f"{name}\x1e{cell}" for name, cell in cells_of(row).items())
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/devtools/bamboo_standins/object_store.py
+++ b/devtools/bamboo_standins/object_store.py
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class ObjectStore:
-    """Hold versioned objects and the log of writes that watches read."""
+    """Hold versioned objects and the log of writes that watches read; callers change no value."""
 
     revision: int = 0
     compacted: int = 0
@@ -38,12 +38,12 @@
         found = self.by_key.get((collection, name))
         if found is None:
             return Err(PlatformError(PlatformErrorKind.NOT_FOUND, f"{collection}/{name}"))
-        return Ok(copy.deepcopy(found))
+        return Ok(found)
 
     def list(self, collection: str) -> ObjectList:
         """Read a whole collection."""
         found = [entry for key, entry in self.by_key.items() if key[0] == collection]
-        return ObjectList(self.revision, copy.deepcopy(found))
+        return ObjectList(self.revision, found)
 
     def put(
         self, collection: str, name: str, value: dict, if_version: int
@@ -56,7 +56,7 @@
         written = PlatformObject(collection, name, self.revision, copy.deepcopy(value))
         self.by_key[collection, name] = written
         self.changes.append(Change(self.revision, collection, name, written))
-        return Ok(copy.deepcopy(written))
+        return Ok(written)
 
     def delete(self, collection: str, name: str, if_version: int) -> Result[None, PlatformError]:
         """Delete an object if it still has a version."""
@@ -82,7 +82,7 @@
         }
         changed = [change.written for change in last_by_name.values() if change.written]
         deleted = [change.name for change in last_by_name.values() if change.written is None]
-        return Ok(WatchBatch(self.revision, copy.deepcopy(changed), deleted))
+        return Ok(WatchBatch(self.revision, changed, deleted))
 
     def compact(self) -> None:
         """Forget the log, so that older watches have to read the collection again."""
