--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -15,6 +15,7 @@
 )
 from bamboojunction.core.poison.fingerprints import suspect_after
 from bamboojunction.core.retries.policy import GiveUp, RetryAfter, RetryPolicy
+from bamboojunction.core.retries.truth import outcome_of_all
 from bamboojunction.core.routing.router import AttemptEnd, Chosen, Router, RouteRequest
 from bamboojunction.core.table.rows import Effect, Row
 from bamboojunction.nodes.convert import answer_to_reply, call_to_request
@@ -47,12 +48,14 @@
     sends: KeyedSends | None
     excluded: frozenset[str] = frozenset()
     suspect: int | None = None
+    earlier: Outcome | None = None
 
     def note(self, call: Call, outcome: Outcome, instance: str | None) -> None:
         """Learn from an attempt that another one follows."""
         if instance is not None:
             self.excluded |= {instance}
         self.suspect = suspect_after(call, outcome) or self.suspect
+        self.earlier = outcome_of_all(self.earlier, outcome)
 
 
 class CallRouter:
@@ -79,14 +82,14 @@
     async def route(self, call: Call, row: Row, sends: KeyedSends | None = None) -> Outcome:
         """Attempt a call until it is settled or may not be tried again."""
         progress = _Progress(sends)
-        policy = self._policies.setdefault(call.service, RetryPolicy())
+        policy = self._policy_for(call.service)
         while True:
             outcome, instance = await self._attempt(call, row, progress)
             now = self._loop.time()
             decision = policy.decide(row, outcome, outcome.allowance_left, call.deadline, now)
             match decision:
                 case GiveUp():
-                    return outcome
+                    return outcome_of_all(progress.earlier, outcome)
                 case RetryAfter(delay=delay):
                     if sends is not None and not sends.may_resend(outcome):
                         return outcome
@@ -94,6 +97,14 @@
                     progress.note(call, outcome, instance)
                     await asyncio.sleep(delay)
 
+    def _policy_for(self, service: str) -> RetryPolicy:
+        # Created once a service: seeding its random numbers costs more than a whole decision.
+        policy = self._policies.get(service)
+        if policy is None:
+            policy = RetryPolicy()
+            self._policies[service] = policy
+        return policy
+
     async def send_to_gate(self, instance: str, call: Call) -> GateReply:
         """Send one attempt to the gate of an instance and wait for its reply."""
         if instance == self._instance:
