--- a/devtools/bamboo_bench/capacity/command.py
+++ b/devtools/bamboo_bench/capacity/command.py
@@ -6,7 +6,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from bamboo_bench.capacity import links, memory, processes
+from bamboo_bench.capacity import control, links, memory, processes
 from bamboo_bench.capacity.slopes import Slope
 
 PAGE = Path(__file__).parents[3] / "docs" / "CAPACITY.md"
@@ -14,6 +14,7 @@
     "memory": memory.measure,
     "links": links.measure,
     "processes": processes.measure,
+    "control": control.measure,
 }
 HEADING = "| part | measured | slope | at the size | limit | command |\n|---|---|---|---|---|---|\n"
 
@@ -34,7 +35,11 @@
     description = "Measure the slopes behind docs/CAPACITY.md"
     options = [
         option(
-            "part", None, "memory, links or processes (default: all)", flag=False, multiple=True
+            "part",
+            None,
+            "memory, links, processes or control (default: all)",
+            flag=False,
+            multiple=True,
         ),
         option("write", None, "Write the tables of the page anew", flag=True),
     ]
--- a/devtools/bamboo_bench/capacity/slopes.py
+++ b/devtools/bamboo_bench/capacity/slopes.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from bamboo_bench.state.fit import Line
+
 
 @dataclass(slots=True, frozen=True)
 class Point:
@@ -28,27 +30,14 @@
     command: str
 
     @property
-    def per_one(self) -> float:
-        """Return the rise for each one of the size, by least squares."""
-        mean_size = sum(point.size for point in self.points) / len(self.points)
-        mean_value = sum(point.value for point in self.points) / len(self.points)
-        spread = sum((point.size - mean_size) ** 2 for point in self.points)
-        if spread == 0:
-            return 0.0
-        rise = sum((point.size - mean_size) * (point.value - mean_value) for point in self.points)
-        return rise / spread
-
-    @property
-    def base(self) -> float:
-        """Return the value of the line at size 0."""
-        mean_size = sum(point.size for point in self.points) / len(self.points)
-        mean_value = sum(point.value for point in self.points) / len(self.points)
-        return mean_value - self.per_one * mean_size
+    def line(self) -> Line:
+        """Return the line of least squares through the points."""
+        return Line.through([(point.size, point.value) for point in self.points])
 
     @property
     def at_target(self) -> float:
         """Return the value of the line at the size to design for."""
-        return self.base + self.per_one * self.target_size
+        return self.line.at(self.target_size)
 
     @property
     def is_met(self) -> bool:
@@ -62,7 +51,7 @@
             "-" if self.limit is None else f"{self.limit:g} ({'met' if self.is_met else 'MISSED'})"
         )
         return (
-            f"| {self.name} | {measured} | {self.per_one:.3g} {self.unit} a {self.per} "
+            f"| {self.name} | {measured} | {self.line.slope:.3g} {self.unit} a {self.per} "
             f"| {self.at_target:.3g} {self.unit} at {self.target_size:g} | {limit} "
             f"| `{self.command}` |"
         )
