--- /dev/null
+++ b/tests/membership/test_rules.py
@@ -0,0 +1,154 @@
+"""The rules of the ring, of silence and of removal, one by one."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from bamboojunction.core.membership.exchange import Exchange
+from bamboojunction.core.membership.liveness import Liveness
+from bamboojunction.core.membership.messages import SilenceReport, Summary
+from bamboojunction.core.membership.removal import CUT_OFF_SECONDS, SILENT_SECONDS
+from bamboojunction.core.membership.ring import MONITORS, PLATFORM_WATCHERS, Ring
+from bamboojunction.core.membership.view import (
+    Announcement,
+    InstanceState,
+    MembershipView,
+    superseding,
+    with_state,
+)
+from bamboojunction.core.table.holder import TableHolder
+
+
+def announcement(number: int, centre: str = "north", **changes) -> Announcement:
+    entry = Announcement(
+        instance=f"upstream-{number}",
+        incarnation=f"incarnation-{number}",
+        service="bayfinder",
+        data_centre=centre,
+        region="region",
+        address=f"10.0.0.{number}:7000",
+        started_at=float(number),
+    )
+    return replace(entry, **changes)
+
+
+def view_of(*entries: Announcement) -> MembershipView:
+    view = MembershipView()
+    for entry in entries:
+        view.merge(entry)
+    return view
+
+
+class ViewTests(unittest.TestCase):
+    def test_views_with_the_same_entries_agree_whatever_their_order(self):
+        entries = [announcement(number) for number in range(1, 30)]
+        shuffled = random.Random(1).sample(entries, len(entries))
+        self.assertEqual(view_of(*entries).total_hash(), view_of(*shuffled).total_hash())
+
+    def test_gone_and_forgotten_instances_leave_no_trace_in_the_hash(self):
+        first, second = announcement(1), announcement(2)
+        view = view_of(first, second, with_state(second, InstanceState.GONE))
+        self.assertEqual(view.total_hash(), view_of(first).total_hash())
+        view.forget(second.instance)
+        self.assertEqual(view.total_hash(), view_of(first).total_hash())
+
+    def test_later_incarnation_wins_also_over_a_higher_sequence(self):
+        old = announcement(1, sequence=9)
+        new = superseding(announcement(1, incarnation="z", started_at=0.0), old)
+        view = view_of(new, old)
+        self.assertEqual(view.by_instance[old.instance], new)
+
+    def test_changed_services_are_named_once(self):
+        view = view_of(announcement(1), announcement(2, service="payments"))
+        self.assertEqual(view.take_changed_services(), {"bayfinder", "payments"})
+        view.merge(announcement(1))
+        self.assertEqual(view.take_changed_services(), set())
+
+
+class RingTests(unittest.TestCase):
+    def test_each_instance_is_watched_by_those_that_watch_it(self):
+        view = view_of(*(announcement(number) for number in range(1, 12)))
+        ring = Ring(view, "north")
+        for watcher in view.by_instance:
+            for watched in ring.monitored_by(watcher):
+                self.assertIn(watcher, ring.monitors_of(watched))
+                self.assertEqual(len(ring.monitors_of(watched)), MONITORS)
+
+    def test_other_data_centres_and_gone_instances_are_not_on_the_ring(self):
+        gone = with_state(announcement(3), InstanceState.GONE)
+        view = view_of(announcement(1), announcement(2, "south"), gone)
+        self.assertEqual(Ring(view, "north").instances(), ["upstream-1"])
+
+    def test_a_few_instances_watch_the_platform(self):
+        view = view_of(*(announcement(number) for number in range(1, 40)))
+        ring = Ring(view, "north")
+        watchers = [name for name in view.by_instance if ring.watches_platform(name)]
+        self.assertEqual(len(watchers), PLATFORM_WATCHERS)
+
+
+class LivenessTests(unittest.TestCase):
+    def test_silence_counts_from_the_first_unanswered_probe(self):
+        liveness = Liveness()
+        liveness.probed("a", 1.0)
+        self.assertEqual(liveness.silent_seconds("a", 50.0), 0.0)
+        liveness.probed("a", 3.0)
+        self.assertEqual(liveness.silent_seconds("a", 5.0), 4.0)
+        liveness.heard("a", 6.0)
+        self.assertEqual(liveness.silent_seconds("a", 9.0), 0.0)
+
+
+class RemovalTests(unittest.TestCase):
+    def setUp(self):
+        self.entries = [announcement(number) for number in range(1, 5)]
+        own, self.dead, *self.others = self.entries
+        self.exchange = Exchange(
+            own, view_of(*self.entries), TableHolder(), [], random.Random(1), str, str
+        )
+        self.now = 0.0
+
+    def run_for(self, seconds: float, answering, reporting=()) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.5
+            self.exchange.tick(self.now)
+            for peer in answering:
+                self.exchange.take(peer.instance, Summary(0, 0, is_answer=True), self.now)
+            report = SilenceReport(self.dead.instance, self.dead.incarnation)
+            for peer in reporting:
+                self.exchange.take(peer.instance, report, self.now)
+
+    def is_gone(self) -> bool:
+        return self.exchange.view.by_instance[self.dead.instance].is_gone
+
+    def test_own_evidence_alone_removes_nobody(self):
+        self.run_for(10 * SILENT_SECONDS, self.others)
+        self.assertFalse(self.is_gone())
+
+    def test_two_monitors_remove(self):
+        self.run_for(2 * SILENT_SECONDS, self.others, self.others[:1])
+        self.assertTrue(self.is_gone())
+
+    def test_reports_about_an_instance_that_answers_remove_nobody(self):
+        self.run_for(10 * SILENT_SECONDS, self.entries[1:], self.others)
+        self.assertFalse(self.is_gone())
+
+    def test_cut_off_node_removes_nobody(self):
+        self.run_for(10 * SILENT_SECONDS + CUT_OFF_SECONDS, [])
+        states = {entry.is_gone for entry in self.exchange.view.by_instance.values()}
+        self.assertEqual(states, {False})
+
+    def test_pause_of_the_own_process_is_no_silence_of_others(self):
+        self.run_for(5.0, self.entries[1:])
+        self.now += 300.0
+        self.run_for(3.0, [], self.others)
+        self.assertFalse(self.is_gone())
+
+    def test_refuted_removal_asks_for_more_time(self):
+        self.run_for(2 * SILENT_SECONDS, self.others, self.others)
+        gone = self.exchange.view.by_instance[self.dead.instance]
+        back = superseding(self.dead, gone)
+        self.exchange.take_announcements([back], self.now)
+        self.run_for(1.5 * SILENT_SECONDS, self.others, self.others)
+        self.assertFalse(self.is_gone())
+        self.run_for(2 * SILENT_SECONDS, self.others, self.others)
+        self.assertTrue(self.is_gone())
--- /dev/null
+++ b/tests/platform_store/test_budget.py
@@ -0,0 +1,68 @@
+"""Calls stay within the node's share, also when all nodes come back together."""
+
+import asyncio
+import random
+import unittest
+
+from bamboo_standins.memory_platform import MemoryPlatformClient, SharedPlatform
+from bamboo_standins.paused_clock import paused
+
+from bamboojunction.platform.budget import (
+    BACKOFF_MAX_SECONDS,
+    FLEET_READS_PER_SECOND,
+    FLEET_WRITES_PER_SECOND,
+    READ_BURST_CALLS,
+    WRITE_BURST_CALLS,
+    Backoff,
+    CallBudget,
+)
+from bamboojunction.platform.paced import PacedPlatformClient
+
+FLEET_SIZE = 950
+
+
+class BudgetTests(unittest.TestCase):
+    def test_fleet_of_full_size_stays_within_its_rates(self):
+        budget = CallBudget(0.0)
+        budget.resize(FLEET_SIZE)
+        cases = (
+            (budget.read, FLEET_READS_PER_SECOND, READ_BURST_CALLS),
+            (budget.write, FLEET_WRITES_PER_SECOND, WRITE_BURST_CALLS),
+        )
+        for take, fleet_rate, burst in cases:
+            with self.subTest(take=take):
+                waits = [take(0.0) for _ in range(100)]
+                self.assertEqual([wait for wait in waits if wait == 0.0], [0.0] * int(burst))
+                self.assertAlmostEqual(waits[-1], (100 - burst) * FLEET_SIZE / fleet_rate)
+
+    def test_backoff_grows_to_its_limit_and_starts_over(self):
+        backoff = Backoff(random.Random(1))
+        waits = [backoff.failed() for _ in range(200)]
+        self.assertLessEqual(max(waits), BACKOFF_MAX_SECONDS)
+        self.assertGreater(max(waits), BACKOFF_MAX_SECONDS / 2)
+        backoff.succeeded()
+        self.assertLessEqual(backoff.failed(), 0.5)
+
+    def test_nodes_that_failed_together_come_back_spread(self):
+        waits = []
+        for seed in range(FLEET_SIZE):
+            backoff = Backoff(random.Random(seed))
+            for _ in range(8):
+                wait = backoff.failed()
+            waits.append(wait)
+        busiest = max(sum(second <= wait < second + 1 for wait in waits) for second in range(30))
+        self.assertLess(busiest, FLEET_WRITES_PER_SECOND)
+
+    @paused
+    async def test_paced_client_counts_calls_and_errors_and_waits(self):
+        shared = SharedPlatform()
+        inner = MemoryPlatformClient(shared)
+        loop = asyncio.get_running_loop()
+        client = PacedPlatformClient(inner, CallBudget(loop.time()))
+        client.budget.resize(FLEET_SIZE)
+        began = loop.time()
+        inner.faults.refuse_status = 503
+        for _ in range(10):
+            await client.list("tables")
+        self.assertGreater(loop.time() - began, (9 - READ_BURST_CALLS))
+        self.assertEqual(client.counts, {"list": 10, "error-unavailable": 10})
