Fixed reads of the table that peers had already brought, and counted the platform's bytes

Each node that does not watch read the whole object, with its history, after every edit. It now watches from the version that it holds. The history keeps 20 kB instead of 200 kB, as every node that watches reads it with each edit.

--- a/bamboojunction/core/table/objects.py
+++ b/bamboojunction/core/table/objects.py
@@ -13,7 +13,8 @@
 NAME = "table"
 SCHEMA = 1
 HISTORY_MAX_ENTRIES = 200
-HISTORY_MAX_BYTES = 200_000
+# Every node that watches the platform reads the history with each edit.
+HISTORY_MAX_BYTES = 20_000
 
 
 @dataclass(slots=True, frozen=True)
--- a/bamboojunction/node/feeds.py
+++ b/bamboojunction/node/feeds.py
@@ -37,7 +37,10 @@
 
 
 class Feed:
-    """Read one collection and hand over the objects that changed."""
+    """Read one collection and hand over the objects that changed.
+
+    ``known_revision`` returns the revision up to which the node knows the collection otherwise.
+    """
 
     def __init__(
         self,
@@ -46,12 +49,14 @@
         exchange: Exchange,
         generator: random.Random,
         take: Callable[[list[PlatformObject]], None],
+        known_revision: Callable[[], int] = lambda: 0,
     ):
         self._collection = collection
         self._client = client
         self._exchange = exchange
         self._random = generator
         self._take = take
+        self._known_revision = known_revision
         self._loop = asyncio.get_running_loop()
         self._backoff = Backoff(generator)
         self._revision: int | None = None
@@ -114,7 +119,9 @@
         if self._revision is None or self._loop.time() >= self._relist_at:
             result = await self._client.list(self._collection)
         else:
-            result = await self._client.watch(self._collection, self._revision, wait_seconds)
+            # Peers may have brought what changed since the last read.
+            since = max(self._revision, self._known_revision())
+            result = await self._client.watch(self._collection, since, wait_seconds)
         match result:
             case Ok(ObjectList(revision, items)):
                 self._revision = revision
--- a/bamboojunction/node/platform_sync.py
+++ b/bamboojunction/node/platform_sync.py
@@ -48,7 +48,14 @@
         self._own_changed = own_changed
         self._written = PlatformObject(COLLECTION, exchange.own.instance, 0, {})
         self._cleaned: set[tuple[str, str]] = set()
-        self._tables = Feed(objects.COLLECTION, self.client, exchange, generator, self._take_tables)
+        self._tables = Feed(
+            objects.COLLECTION,
+            self.client,
+            exchange,
+            generator,
+            self._take_tables,
+            lambda: exchange.holder.table.version,
+        )
         self._upstreams = Feed(COLLECTION, self.client, exchange, generator, self._take_upstreams)
         self._watch_seconds = settings.watch_seconds
         self._tasks: list[asyncio.Task] = []
--- a/devtools/bamboo_standins/memory_platform.py
+++ b/devtools/bamboo_standins/memory_platform.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+import msgspec
 from result import Err, Ok, Result
 
 from bamboo_standins.object_store import ObjectStore
@@ -46,16 +47,17 @@
         self.faults = Faults()
         self.stale: ObjectStore | None = None
         self._latency_seconds = latency_seconds
+        self.received_bytes = 0
 
     async def get(self, collection: str, name: str) -> Result[PlatformObject, PlatformError]:
         """Read one object."""
         failed = await self._fail_if_asked("reads")
-        return failed or self._readable().get(collection, name)
+        return failed or self._counted(self._readable().get(collection, name))
 
     async def list(self, collection: str) -> Result[ObjectList, PlatformError]:
         """Read a whole collection."""
         failed = await self._fail_if_asked("reads")
-        return failed or Ok(self._readable().list(collection))
+        return failed or self._counted(Ok(self._readable().list(collection)))
 
     async def put(
         self, collection: str, name: str, value: dict, if_version: int
@@ -100,11 +102,17 @@
                 continue
         if self.faults.down:
             return Err(PlatformError(PlatformErrorKind.UNAVAILABLE, "reset"))
-        return batch
+        return self._counted(batch)
 
     async def close(self) -> None:
         """Do nothing, as there is no connection."""
 
+    def _counted(self, result: Result) -> Result:
+        """Count the bytes of an answer's body."""
+        if result.is_ok():
+            self.received_bytes += len(msgspec.json.encode(result.ok()))
+        return result
+
     def _readable(self) -> ObjectStore:
         return self.stale or self.shared.store
 
