--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+from bamboojunction.core.admission.edge import EdgeLevels
 from bamboojunction.core.calls import Call
 from bamboojunction.core.membership.view import MembershipView
 from bamboojunction.core.outcomes import (
@@ -15,6 +16,7 @@
 )
 from bamboojunction.core.poison.fingerprints import suspect_after
 from bamboojunction.core.retries.policy import GiveUp, RetryAfter, RetryPolicy
+from bamboojunction.core.retries.truth import outcome_of_all
 from bamboojunction.core.routing.router import AttemptEnd, Chosen, Router, RouteRequest
 from bamboojunction.core.table.rows import Effect, Row
 from bamboojunction.nodes.convert import answer_to_reply, call_to_request
@@ -47,18 +49,20 @@
     sends: KeyedSends | None
     excluded: frozenset[str] = frozenset()
     suspect: int | None = None
+    earlier: Outcome | None = None
 
     def note(self, call: Call, outcome: Outcome, instance: str | None) -> None:
         """Learn from an attempt that another one follows."""
         if instance is not None:
             self.excluded |= {instance}
         self.suspect = suspect_after(call, outcome) or self.suspect
+        self.earlier = outcome_of_all(self.earlier, outcome)
 
 
 class CallRouter:
     """Route calls to gates, the one beside this node among them."""
 
-    __slots__ = ("_gate", "_instance", "_links", "_loop", "_policies", "_router", "_view")
+    __slots__ = ("_edge", "_gate", "_instance", "_links", "_loop", "_policies", "_router", "_view")
 
     def __init__(
         self,
@@ -67,7 +71,9 @@
         view: MembershipView,
         links: LinkPool,
         gate: Gate,
+        edge: EdgeLevels,
     ):
+        self._edge = edge
         self._instance = instance
         self._router = router
         self._view = view
@@ -79,14 +85,14 @@
     async def route(self, call: Call, row: Row, sends: KeyedSends | None = None) -> Outcome:
         """Attempt a call until it is settled or may not be tried again."""
         progress = _Progress(sends)
-        policy = self._policies.setdefault(call.service, RetryPolicy())
+        policy = self._policy_for(call.service)
         while True:
             outcome, instance = await self._attempt(call, row, progress)
             now = self._loop.time()
             decision = policy.decide(row, outcome, outcome.allowance_left, call.deadline, now)
             match decision:
                 case GiveUp():
-                    return outcome
+                    return outcome_of_all(progress.earlier, outcome)
                 case RetryAfter(delay=delay):
                     if sends is not None and not sends.may_resend(outcome):
                         return outcome
@@ -94,6 +100,14 @@
                     progress.note(call, outcome, instance)
                     await asyncio.sleep(delay)
 
+    def _policy_for(self, service: str) -> RetryPolicy:
+        # Created once a service: seeding its random numbers costs more than a whole decision.
+        policy = self._policies.get(service)
+        if policy is None:
+            policy = RetryPolicy()
+            self._policies[service] = policy
+        return policy
+
     async def send_to_gate(self, instance: str, call: Call) -> GateReply:
         """Send one attempt to the gate of an instance and wait for its reply."""
         if instance == self._instance:
@@ -125,6 +139,9 @@
         self, call: Call, row: Row, progress: _Progress
     ) -> tuple[Outcome, str | None]:
         now = self._loop.time()
+        refusal = self._refusal_at_edge(call, row, now)
+        if refusal is not None:
+            return replace(refusal, allowance_left=call.allowance), None
         request = RouteRequest(
             call.service,
             call.kind,
@@ -147,6 +164,12 @@
             case NotRun() as refusal:
                 return replace(refusal, allowance_left=call.allowance), None
 
+    def _refusal_at_edge(self, call: Call, row: Row, now: float) -> NotRun | None:
+        """Refuse a new call that a service of its row would shed; deeper calls go on."""
+        if call.depth:
+            return None
+        return self._edge.refusal(row.services, row.rank, call.action, now)
+
     async def _send_tracked(self, instance: str, call: Call) -> Outcome:
         started = self._loop.time()
         self._router.sent(instance, call.kind, started)
@@ -164,4 +187,6 @@
                 now - started,
             )
             self._router.ended(end, now)
+            if reply.report is not None:
+                self._edge.learn(call.service, instance, reply.report, now, call.depth)
         return reply.outcome
