--- a/bamboojunction/callers/server.py
+++ b/bamboojunction/callers/server.py
@@ -51,8 +51,13 @@
         """Start serving."""
         self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
 
-    async def close(self) -> None:
-        """Let the answers that are on their way leave, then close."""
+    async def close(self, waits: bool = True) -> None:
+        """Let the answers that are on their way leave, then close.
+
+        Without ``waits``, the requests under way are cancelled and answered as unknown.
+        """
+        if not waits:
+            self._server.config.timeout_graceful_shutdown = 0
         self._server.should_exit = True
         if self._task is not None:
             await self._task
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -154,7 +154,7 @@
         leaving = asyncio.create_task(self.sync.leave())
         closing = await self._wait_to_close(self._leaving)
         leaving.cancel()
-        await self.close()
+        await self.close(waits=closing.cut == 0)
         logger.info(
             "event=node_stopped instance={} reason={} cut={}",
             self.settings.node.instance,
@@ -162,12 +162,12 @@
             closing.cut,
         )
 
-    async def close(self) -> None:
-        """Close every socket and end every task."""
+    async def close(self, waits: bool = True) -> None:
+        """Close every socket and end every task; without ``waits``, cut what is under way."""
         for task in self._tasks:
             task.cancel()
         await self.sync.close()
-        await self.caller_server.close()
+        await self.caller_server.close(waits)
         await self.link_server.close()
         await self.links.close()
         await self.upstream.close()
--- a/tests/once_processes/test_stops.py
+++ b/tests/once_processes/test_stops.py
@@ -35,6 +35,20 @@
         self.assert_truthful(ran, answers, effects=1)
         self.assert_truthful(fresh, [refusal], effects=0)
 
+    @on_fleet
+    async def test_second_signal_tells_waiting_callers_that_the_outcome_is_unknown(self):
+        for gate in PAYMENTS:
+            await self.fleet.upstream_faults(gate, hang=True)
+        key = await self.new_key("bayfinder-1")
+        held = asyncio.create_task(self.charge("bayfinder-1", key, deadline_ms=60_000))
+        await self.running_gate()
+        self.fleet.signal_node("bayfinder-1", signal.SIGTERM)
+        await self.fleet.wait_state("bayfinder-1", lambda state: state["draining"])
+        self.fleet.signal_node("bayfinder-1", signal.SIGTERM)
+        node = self.fleet.by_instance["bayfinder-1"].node
+        self.assertEqual(await asyncio.wait_for(node.wait(), 15.0), 0)
+        self.assertEqual((await held).outcome, "unknown")
+
     @on_fleet
     async def test_second_signal_ends_a_stop_that_a_call_holds_open(self):
         for gate in PAYMENTS:
