Added a check that a key is used for one request only

A copy with another kind, service, method, path or body than the first is told 'key-reused', unknown, and runs nothing.

--- a/bamboojunction/core/once/home.py
+++ b/bamboojunction/core/once/home.py
@@ -51,13 +51,15 @@
 
     ``attempt`` is the serial of the last attempt and ``gate`` the gate incarnation that it was sent
     to, empty while it was sent nowhere. ``caller_attempt`` is the highest of the callers' own
-    numbers that an attempt was started for.
+    numbers that an attempt was started for. ``fingerprint`` tells the request from another one that
+    was given the same key.
     """
 
     state: KeyState
     attempt: int
     gate: str = ""
     caller_attempt: int = 0
+    fingerprint: int = 0
     outcome: Outcome | None = None
     bytes_held: int = 0
 
@@ -120,11 +122,14 @@
         window = self._windows.find(number)
         return window.gates if window else None
 
-    def begin(self, key: ActionKey, now: float, caller_attempt: int = 0) -> HomeDecision:
+    def begin(
+        self, key: ActionKey, now: float, caller_attempt: int = 0, fingerprint: int = 0
+    ) -> HomeDecision:
         """Decide what a copy of a keyed call does.
 
         ``caller_attempt`` is the number that the caller gave to this sending of the key, 0 for
-        none. A copy whose number an earlier attempt already served never starts another one.
+        none. A copy whose number an earlier attempt already served never starts another one. A
+        request with another ``fingerprint`` than the key's first one gets no answer of the key.
         """
         self._advance(now)
         if key.home.instance != self.home_id.instance:
@@ -136,7 +141,10 @@
             return Answered(self._outside(key.home.window))
         record = window.by_key.get(key.nonce)
         if record is None:
-            return self._first_attempt(window, key, caller_attempt)
+            record = KeyRecord(KeyState.NOT_RUN, 0, "", caller_attempt, fingerprint)
+            return self._first_attempt(window, key, record)
+        if record.fingerprint != fingerprint:
+            return Answered(Unknown(UnknownReason.KEY_REUSED))
         match record.state:
             case KeyState.RUNNING:
                 record.caller_attempt = max(record.caller_attempt, caller_attempt)
@@ -204,14 +212,13 @@
             return None
         return window.by_key.get(key.nonce)
 
-    def _first_attempt(self, window: Window, key: ActionKey, caller_attempt: int) -> HomeDecision:
+    def _first_attempt(self, window: Window, key: ActionKey, record: KeyRecord) -> HomeDecision:
         if self.is_draining and not key.is_child:
             return Answered(NotRun(NotRunReason.DRAINING))
         size = record_bytes(key, None)
         window.is_full |= self._bytes_held + size > self._bytes_max
         if window.is_full:
             return Answered(NotRun(NotRunReason.FULL, retry_after=self._windows.window_seconds))
-        record = KeyRecord(KeyState.NOT_RUN, attempt=0, caller_attempt=caller_attempt)
         self._hold(record, size)
         window.by_key[key.nonce] = record
         return self._start(window, record)
--- a/bamboojunction/core/outcomes.py
+++ b/bamboojunction/core/outcomes.py
@@ -37,6 +37,7 @@
     CANCELLED = "cancelled"
     WINDOW = "window-closed"
     STALE_ATTEMPT = "stale-attempt"
+    KEY_REUSED = "key-reused"
 
 
 @dataclass(slots=True, frozen=True)
--- a/bamboojunction/node/keyed.py
+++ b/bamboojunction/node/keyed.py
@@ -9,6 +9,7 @@
 from bamboojunction.core.once.home import Answered, Home, StartAttempt
 from bamboojunction.core.once.keys import ActionKey
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from bamboojunction.core.poison.fingerprints import fingerprint_of
 from bamboojunction.core.table.rows import Row
 from bamboojunction.node.calling import CallRouter
 from bamboojunction.node.testimony import GateQuestions
@@ -128,7 +129,8 @@
         caller_attempt = call.attempt
         if self._home.doubt(key) is not None:
             await self._clear_doubt(key)
-        match self._home.begin(key, self._loop.time(), caller_attempt):
+        fingerprint = 0 if key.is_child else _fingerprint(call)
+        match self._home.begin(key, self._loop.time(), caller_attempt, fingerprint):
             case Answered(outcome):
                 return self._limit_allowance(outcome, call)
             case StartAttempt() as started:
@@ -190,3 +192,7 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _fingerprint(call: Call) -> int:
+    return fingerprint_of(call.kind, call.method, f"{call.service} {call.path}", call.body)
--- a/tests/once/test_home.py
+++ b/tests/once/test_home.py
@@ -59,6 +59,14 @@
         self.home.settle(self.key, attempt, SHED, 0.0)
         self.assertIsInstance(self.home.begin(self.key, 0.0), StartAttempt)
 
+    def test_other_request_under_the_same_key_gets_no_answer_of_it(self):
+        attempt = self.home.begin(self.key, 0.0, fingerprint=7).attempt
+        reused = Answered(Unknown(UnknownReason.KEY_REUSED))
+        self.assertEqual(self.home.begin(self.key, 0.0, fingerprint=8), reused)
+        self.home.settle(self.key, attempt, Ran(200), 0.0)
+        self.assertEqual(self.home.begin(self.key, 0.0, fingerprint=8), reused)
+        self.assertEqual(self.home.begin(self.key, 0.0, fingerprint=7), Answered(Ran(200)))
+
     def test_closed_window_is_unknown_and_future_window_is_invalid(self):
         closed_at = WINDOW_SECONDS * WINDOWS_OPEN
         self.home.current(WINDOW_SECONDS)
--- a/tests/once/test_search.py
+++ b/tests/once/test_search.py
@@ -1,14 +1,20 @@
 """No interleaving of the protocol breaks its promise, and every seeded break is found."""
 
+import random
 import unittest
+from dataclasses import replace
 
 from bamboo_bench.once.scenarios import breaks, scenarios, small
 from bamboo_bench.once.search import search, walk
+from bamboo_bench.once.world import Budget, Violation
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 STATES_MAX = 1_500
 BREAK_STATES_MAX = 5_000
+WALKS_MAX = 2_000
+STEPS_PER_WALK = 60
+SEED = 1
 CHOICES = st.lists(st.integers(0, 2**16), min_size=10, max_size=60)
 
 
@@ -39,6 +45,21 @@
                 print(f"{scenario.name}: found after {result.states} states")
                 self.assertTrue(result.violation)
 
+    def test_random_walks_with_full_budgets_find_every_seeded_break(self):
+        for scenario in breaks():
+            with self.subTest(broken=scenario.name):
+                self.assertLess(self.walks_to_violation(scenario), WALKS_MAX)
+
+    def walks_to_violation(self, scenario):
+        generator = random.Random(SEED)
+        for number in range(WALKS_MAX):
+            choices = [generator.randrange(2**16) for _ in range(STEPS_PER_WALK)]
+            try:
+                walk(replace(scenario, budget=Budget()).build(), choices)
+            except Violation:
+                return number
+        return WALKS_MAX
+
     @settings(derandomize=True, deadline=None, max_examples=150)
     @given(index=st.integers(0, len(scenarios()) - 1), choices=CHOICES)
     def test_long_walks_with_full_budgets_keep_the_promise(self, index, choices):
