--- a/bamboojunction/conf/forms.py
+++ b/bamboojunction/conf/forms.py
@@ -38,11 +38,6 @@
     """Accept an http URL whose host is an IP literal with a port, or nothing."""
 
 
-@dataclass(slots=True, frozen=True)
-class UrlPath:
-    """Accept the path of a URL, or nothing."""
-
-
 @dataclass(slots=True, frozen=True)
 class Secret:
     """Accept any text, and never show it."""
@@ -71,7 +66,7 @@
     high: float
 
 
-Form = Name | Address | Addresses | HttpEndpoint | UrlPath | Secret | OneOf | Integer | Decimal
+Form = Name | Address | Addresses | HttpEndpoint | Secret | OneOf | Integer | Decimal
 Value = str | int | float
 
 
@@ -105,8 +100,6 @@
             return "IPv4 addresses with ports, separated by spaces, or nothing"
         case HttpEndpoint():
             return "a URL like http://127.0.0.1:4318/v1/traces with an IPv4 address, or nothing"
-        case UrlPath():
-            return "a path that starts with '/', or nothing"
         case Secret():
             return f"text of at most {TEXT_MAX_CHARACTERS} characters"
         case OneOf(words=words):
@@ -148,10 +141,6 @@
     return text if parts.scheme == "http" and _is_address(parts.netloc) else None
 
 
-def _read_path(form: UrlPath, text: str) -> str | None:
-    return text if not text or text.startswith("/") else None
-
-
 def _read_secret(form: Secret, text: str) -> str | None:
     return text if len(text) <= TEXT_MAX_CHARACTERS else None
 
@@ -189,7 +178,6 @@
     Address: _read_address,
     Addresses: _read_addresses,
     HttpEndpoint: _read_endpoint,
-    UrlPath: _read_path,
     Secret: _read_secret,
     OneOf: _read_word,
     Integer: _read_integer,
--- a/bamboojunction/conf/settings.py
+++ b/bamboojunction/conf/settings.py
@@ -11,7 +11,6 @@
     Name,
     OneOf,
     Secret,
-    UrlPath,
     setting,
 )
 
@@ -61,11 +60,6 @@
         unit="connections",
         default=64,
     )
-    load_path: str = setting(
-        "Path of the upstream's own load report, which is taken as a hint only; empty for none.",
-        UrlPath(),
-        default="",
-    )
     cold_start_seconds: float = setting(
         "Time after its start during which the upstream is slow.",
         Decimal(0, 3_600),
