Fixed links that stalled with full buffers

Cause: a heartbeat waited without end to enter the full buffers of a stalled link, so the silence of the peer was never judged; and a caller whose time was up waited until its withdrawal was sent. Before: 40 requests of 1 MB on a stalled link hung for good. After: each ends as lost after three heartbeats, and a withdrawal waits for nothing. A handshake that fails now closes its connection, and the fault proxy no longer hangs on stopping with a full queue.

--- a/bamboojunction/nodes/links.py
+++ b/bamboojunction/nodes/links.py
@@ -61,6 +61,7 @@
         "_pending_by_id",
         "_reader",
         "_watchdog",
+        "_withdrawals",
         "last_used",
         "peer",
     )
@@ -74,6 +75,7 @@
         self._heartbeat_seconds = heartbeat_seconds
         self._loop = asyncio.get_running_loop()
         self._pending_by_id: dict[int, asyncio.Future] = {}
+        self._withdrawals: set[asyncio.Task] = set()
         self._last_received = self._loop.time()
         self.last_used = self._last_received
         self._reader = asyncio.create_task(self._read())
@@ -102,7 +104,7 @@
         except (WebSocketException, OSError):
             return LinkFailure.LOST
         except asyncio.CancelledError:
-            await self._withdraw(request_id)
+            self._withdraw(request_id)
             raise
         finally:
             self._pending_by_id.pop(request_id, None)
@@ -122,9 +124,13 @@
         await self._connection.close()
         await asyncio.gather(self._reader, self._watchdog, return_exceptions=True)
 
-    async def _withdraw(self, request_id: int) -> None:
-        if self.is_open:
-            await self.send(encode(Cancel(request_id)))
+    def _withdraw(self, request_id: int) -> None:
+        """Tell the peer without waiting: a stalled link must not hold up a caller's deadline."""
+        if not self.is_open:
+            return
+        task = asyncio.create_task(self.send(encode(Cancel(request_id))))
+        self._withdrawals.add(task)
+        task.add_done_callback(self._withdrawals.discard)
 
     async def _read(self) -> None:
         try:
@@ -173,10 +179,18 @@
                 self.abandon()
                 return
             if self.is_busy:
-                await self.send(encode(Heartbeat(token)))
+                await self._send_heartbeat(token)
             else:
                 self._last_received = now
 
+    async def _send_heartbeat(self, token: int) -> None:
+        """Send within one interval: on a link with full buffers the wait would never end."""
+        try:
+            async with asyncio.timeout(self._heartbeat_seconds):
+                await self.send(encode(Heartbeat(token)))
+        except TimeoutError:
+            return
+
 
 class LinkPool:
     """Hold the links to the nodes that this node calls, by address."""
@@ -258,8 +272,13 @@
                 for address, link in self._by_address.items()
                 if not link.is_busy and (link.last_used < oldest or not link.is_open)
             ]
-            for address in idle:
-                await self._by_address.pop(address).close()
+            links = [self._by_address.pop(address) for address in idle]
+            await asyncio.gather(*(link.close() for link in links))
+            self._failed_at = {
+                address: failed_at
+                for address, failed_at in self._failed_at.items()
+                if self._loop.time() - failed_at < REOPEN_DELAY_SECONDS
+            }
 
     async def close(self) -> None:
         """Close all links."""
@@ -310,18 +329,30 @@
             local_addr=(self._source_host, 0),
             max_size=self._settings.frame_max_bytes,
         )
+        peer = None
+        try:
+            peer = await self._authenticate(connection)
+        finally:
+            if peer is None:
+                connection.transport.abort()
+        if peer is None:
+            return None
+        return Link(connection, peer, self._handlers, self._settings.heartbeat_seconds)
+
+    async def _authenticate(self, connection: ClientConnection) -> str | None:
+        """Return the instance at the other end, or None when it does not know the secret."""
         nonce = new_nonce()
         await connection.send(encode(self._identity.hello(nonce)))
-        hello = decode(await connection.recv()).ok()
+        frame = await connection.recv()
+        hello = decode(frame).ok() if isinstance(frame, bytes) else None
         secret = self._identity.secret
         if not isinstance(hello, Hello) or not is_proof(
             hello.proof, secret, b"server", nonce, hello.nonce
         ):
-            await connection.close()
             return None
         proof = prove(secret, b"client", nonce, hello.nonce)
         await connection.send(encode(self._identity.hello(nonce, proof)))
-        return Link(connection, hello.instance, self._handlers, self._settings.heartbeat_seconds)
+        return hello.instance
 
     def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
--- a/devtools/bamboo_standins/fault_proxy.py
+++ b/devtools/bamboo_standins/fault_proxy.py
@@ -135,7 +135,10 @@
         self.clear_faults()
         for connection in list(self._connections):
             connection.reset()
-        await asyncio.gather(*self._tasks)
+        # A direction whose queue is full waits for a sender that may have ended with its connection.
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _reset_all(self, scope: _Scope) -> None:
         for connection in list(self._connections):
@@ -161,7 +164,8 @@
                 self._forward(connection, Direction.TO_SERVER, reader, server_writer),
                 self._forward(connection, Direction.TO_CLIENT, server_reader, writer),
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # Only stop cancels; the stream's own callback would log a cancelled task as an error.
             connection.reset()
         finally:
             self._connections.discard(connection)
--- /dev/null
+++ b/tests/links/test_stalls.py
@@ -0,0 +1,74 @@
+"""Requests on a stalled link end in time, and the link is replaced."""
+
+import asyncio
+import unittest
+
+from bamboo_standins.fault_proxy import FaultProxy, ProxyFaults
+from bamboo_standins.fleet import free_port
+
+from bamboojunction.conf.settings import LinkSettings
+from bamboojunction.core.outcomes import Ran
+from bamboojunction.nodes.handshake import Identity
+from bamboojunction.nodes.links import Handlers, LinkFailure, LinkPool
+from bamboojunction.nodes.messages import CallRequest
+from bamboojunction.nodes.replies import GateReply
+from bamboojunction.nodes.server import LinkServer
+
+HOST = "127.0.0.1"
+SECRET = b"a secret of enough length"
+LARGE_BODY = b"x" * 1_000_000
+WAIT_SECONDS = 30
+
+
+class StallTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        settings = LinkSettings(heartbeat_seconds=0.2)
+        port = free_port(HOST)
+        server = LinkServer(
+            Identity("server", "incarnation", SECRET), settings, self.serve, None, Handlers({})
+        )
+        await server.start(HOST, port)
+        self.addAsyncCleanup(server.close)
+        self.proxy = FaultProxy(f"{HOST}:0", f"{HOST}:{port}")
+        self.address = f"{HOST}:{await self.proxy.start()}"
+        self.addAsyncCleanup(self.proxy.stop)
+        self.pool = LinkPool(Identity("peer", "incarnation", SECRET), settings, HOST)
+        self.addAsyncCleanup(self.pool.close)
+
+    async def serve(self, call: CallRequest) -> GateReply:
+        return GateReply(Ran(200, (), b"whole"))
+
+    async def ask(self, body: bytes = b""):
+        fields = ("", "", "", 5.0, 0, 0, "", 0, "GET", "/", (), body, "")
+        request = CallRequest(self.pool.next_id(), 0, *fields)
+        async with asyncio.timeout(WAIT_SECONDS):
+            return await self.pool.request(self.address, request)
+
+    async def test_requests_that_fill_the_buffers_of_a_stalled_link_end_as_lost(self):
+        await self.ask()
+        self.proxy.set_faults(ProxyFaults(stall=True))
+        answers = await asyncio.gather(*(self.ask(LARGE_BODY) for _ in range(40)))
+        self.assertEqual(set(answers), {LinkFailure.LOST})
+
+    async def test_link_is_opened_anew_after_a_stall(self):
+        await self.ask()
+        self.proxy.set_faults(ProxyFaults(stall=True))
+        self.assertEqual(await self.ask(), LinkFailure.LOST)
+        self.proxy.set_faults(ProxyFaults())
+        async with asyncio.timeout(WAIT_SECONDS):
+            while isinstance(answer := await self.ask(), LinkFailure):
+                await asyncio.sleep(0.05)
+        self.assertEqual(answer.body, b"whole")
+
+    async def test_withdrawing_a_request_does_not_wait_for_a_stalled_link(self):
+        await self.ask()
+        self.proxy.set_faults(ProxyFaults(stall=True))
+        fill = [asyncio.create_task(self.ask(LARGE_BODY)) for _ in range(40)]
+        await asyncio.sleep(0.1)
+        waiting = asyncio.create_task(self.ask())
+        await asyncio.sleep(0)
+        waiting.cancel()
+        done, _ = await asyncio.wait([waiting], timeout=WAIT_SECONDS)
+        self.assertTrue(waiting in done and waiting.cancelled())
+        self.assertFalse(all(task.done() for task in fill))
+        await asyncio.gather(*fill)
