--- a/devtools/bamboo_standins/fault_proxy.py
+++ b/devtools/bamboo_standins/fault_proxy.py
@@ -135,7 +135,7 @@
         self.clear_faults()
         for connection in list(self._connections):
             connection.reset()
-        # A direction whose queue is full waits for a sender that may have ended with its connection.
+        # A direction with a full queue waits for a sender that may have ended with its connection.
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
