--- a/devtools/bamboo_bench/policy/command.py
+++ b/devtools/bamboo_bench/policy/command.py
@@ -1,9 +1,13 @@
 """The command ``bamboo-bench policy``."""
 
+from pathlib import Path
+
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from bamboo_bench.policy.cost import gate_cost_lines
 from bamboo_bench.policy.deployments import DEPLOYMENTS
+from bamboo_bench.policy.plot import write_plot
 from bamboo_bench.policy.runner import jobs_for, play_all, worst_lines
 from bamboo_bench.policy.scenarios import load_scenarios
 
@@ -20,14 +24,23 @@
         option("deployment", None, "cycle-bays, khmira or deep", flag=False, multiple=True),
         option("policy", None, "Name of a policy (default: all)", flag=False, multiple=True),
         option("json", None, "Print one JSON line for each figure"),
+        option("plot", None, "Draw the first seed's goodput over time to an SVG file", flag=False),
+        option("cost", None, "Measure the processor time of each decision instead"),
     ]
 
     def handle(self) -> int:
         """Run what was asked for; return 1 when a target was not met."""
+        if self.option("cost"):
+            self.line("\n".join(gate_cost_lines()))
+            return 0
         known = load_scenarios()
         scenarios = [int(number) for number in self.option("scenario")] or list(known)
         deployments = self.option("deployment") or list(DEPLOYMENTS)
         jobs = jobs_for(scenarios, deployments, self.option("policy"), self._seeds())
+        if self.option("plot"):
+            first_seed = [job for job in jobs if job.seed == jobs[0].seed]
+            write_plot(Path(self.option("plot")), first_seed)
+            return 0
         results = play_all(jobs)
         lines = worst_lines(results)
         for line in lines:
