--- a/devtools/bamboo_bench/policy/ledger.py
+++ b/devtools/bamboo_bench/policy/ledger.py
@@ -111,23 +111,22 @@
         )
 
     def executions_per_first(self, name: str) -> float:
-        """Return the executions in a marked span as a multiple of the calls that began in it."""
+        """Return the executions in a marked span as a multiple of the first attempts in it."""
         start, end = self._marks[name], self._marks[f"{name}_end"]
         return _grown(start.executions, end.executions) / _grown(start.firsts, end.firsts)
 
     def attempts_per_first(self, name: str, service: str | None = None) -> float:
-        """Return the attempts in a marked span as a multiple of the calls that began in it."""
+        """Return the attempts in a marked span as a multiple of the first attempts in it."""
         start, end = self._marks[name], self._marks[f"{name}_end"]
         attempts = _grown(start.attempts, end.attempts, service)
         return attempts / _grown(start.firsts, end.firsts, service)
 
-    def count_attempt(self, service: str) -> None:
-        """Count an attempt that a router sends."""
-        self.attempts_by_service[service] = self.attempts_by_service.get(service, 0) + 1
-
-    def count_first(self, service: str) -> None:
-        """Count a call that is attempted for the first time."""
-        self.firsts_by_service[service] = self.firsts_by_service.get(service, 0) + 1
+    def count_attempt(self, service: str, is_first: bool) -> None:
+        """Count an attempt that a router sends; ``is_first`` for the first one of a call."""
+        counts = self.attempts_by_service
+        counts[service] = counts.get(service, 0) + 1
+        if is_first:
+            self.firsts_by_service[service] = self.firsts_by_service.get(service, 0) + 1
 
     def count_execution(self, attempt: TryRecord, service: str) -> None:
         """Count a call that starts at an upstream."""
--- a/devtools/bamboo_bench/policy/node.py
+++ b/devtools/bamboo_bench/policy/node.py
@@ -75,6 +75,7 @@
     """Attempt one call until it is settled; the router's shell."""
 
     __slots__ = (
+        "_attempted",
         "_done",
         "_earlier",
         "_excluded",
@@ -93,10 +94,10 @@
         self._excluded: frozenset[str] = frozenset()
         self._suspect: int | None = None
         self._earlier: Outcome | None = None
+        self._attempted = False
         self._settled = False
         self._withdraw: Callable[[], None] | None = None
         self._timer = node.clock.call_at(sim.call.deadline, self._expire)
-        node.world.ledger.count_first(sim.call.service)
 
     def attempt(self) -> None:
         """Choose an instance and send it the call."""
@@ -140,7 +141,8 @@
         node, sim = self._node, self._sim
         started = node.clock.now
         node.router.sent(instance, sim.call.kind, started)
-        node.world.ledger.count_attempt(sim.call.service)
+        node.world.ledger.count_attempt(sim.call.service, is_first=not self._attempted)
+        self._attempted = True
 
         def answered(reply: Reply) -> None:
             now = node.clock.now
