--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -82,7 +82,14 @@
         self.gate.on_findings = news.tell
         gate_id = f"{node.instance}/{incarnation}"
         self.keyed_gate = KeyedGate(self.gate, GateRecords(), gate_id)
-        self.calls = CallRouter(node.instance, self.router, self.view, self.links, self.keyed_gate)
+        self.calls = CallRouter(
+            node.instance,
+            self.router,
+            self.view,
+            self.links,
+            self.keyed_gate,
+            self.gate.edge,
+        )
         questions = GateQuestions(self.links, self.view, self.keyed_gate)
         home = Home(node.instance, incarnation)
         self.keyed = KeyedCalls(home, self.calls, self.view, self.links, questions)
@@ -154,7 +161,7 @@
         leaving = asyncio.create_task(self.sync.leave())
         closing = await self._wait_to_close(self._leaving)
         leaving.cancel()
-        await self.close()
+        await self.close(waits=closing.cut == 0)
         logger.info(
             "event=node_stopped instance={} reason={} cut={}",
             self.settings.node.instance,
@@ -162,12 +169,12 @@
             closing.cut,
         )
 
-    async def close(self) -> None:
-        """Close every socket and end every task."""
+    async def close(self, waits: bool = True) -> None:
+        """Close every socket and end every task; without ``waits``, cut what is under way."""
         for task in self._tasks:
             task.cancel()
         await self.sync.close()
-        await self.caller_server.close()
+        await self.caller_server.close(waits)
         await self.link_server.close()
         await self.links.close()
         await self.upstream.close()
