--- a/bamboojunction/core/routing/estimates.py
+++ b/bamboojunction/core/routing/estimates.py
@@ -131,10 +131,9 @@
         """Take in a call that gave no answer for a time."""
         self.times.add_lower_bound(kind, elapsed, now)
 
-    def completion_seconds(self, kind: str, now: float) -> float:
+    def completion_seconds(self, kind: str, pressure: float, now: float) -> float:
         """Return the expected time from sending a call to its answer."""
-        seconds = self.service_seconds(kind, now)
-        return seconds * (1.0 + self.pressure(now)) + self.network
+        return self.service_seconds(kind, now) * (1.0 + pressure) + self.network
 
     def pressure(self, now: float) -> float:
         """Return the work per slot; an old report fades into the mean of the service."""
--- a/bamboojunction/core/routing/router.py
+++ b/bamboojunction/core/routing/router.py
@@ -201,22 +201,23 @@
         for upstream in candidates.draw(self._sample_size, self._random):
             if upstream.announcement.instance in request.excluded:
                 continue
-            if not self._takes_calls(upstreams, upstream, now):
+            pressure = upstream.estimates.pressure(now)
+            if not self._takes_calls(upstreams, upstream, pressure, now):
                 continue
-            seconds = upstream.estimates.completion_seconds(request.kind, now)
+            seconds = upstream.estimates.completion_seconds(request.kind, pressure, now)
             if seconds < best_seconds:
                 best = upstream
                 best_seconds = seconds
         return best, best_seconds
 
     def _takes_calls(
-        self, upstreams: ServiceUpstreams, upstream: KnownUpstream, now: float
+        self, upstreams: ServiceUpstreams, upstream: KnownUpstream, pressure: float, now: float
     ) -> bool:
         estimates = upstream.estimates
         if not estimates.answered:
             # One call at a time until the first answer, so that a cold upstream is not flooded.
             return estimates.in_flight == 0
-        expected = estimates.times.overall.mean * (1.0 + estimates.pressure(now))
+        expected = estimates.times.overall.mean * (1.0 + pressure)
         if upstream.health.silent(estimates.in_flight, expected, now):
             upstream.health.eject(now, by_silence=True)
             upstreams.place(upstream)
--- a/bamboojunction/core/routing/upstreams.py
+++ b/bamboojunction/core/routing/upstreams.py
@@ -50,11 +50,15 @@
             self._index_by_instance[last.announcement.instance] = index
 
     def draw(self, count: int, rng: random.Random) -> list[KnownUpstream]:
-        """Return some upstreams at random, all of them when there are no more."""
+        """Return upstreams at random, all of them when there are no more.
+
+        One of many may be drawn twice, which leaves one less to compare.
+        """
         entries = self.entries
         length = len(entries)
         if length > count:
-            return [entries[index] for index in rng.sample(range(length), count)]
+            draw = rng.random
+            return [entries[int(draw() * length)] for _ in range(count)]
         if length < 2:
             return entries
         start = int(rng.random() * length)
--- a/devtools/bamboo_bench/policy/command.py
+++ b/devtools/bamboo_bench/policy/command.py
@@ -8,6 +8,7 @@
 from bamboo_bench.policy.cost import gate_cost_lines
 from bamboo_bench.policy.deployments import DEPLOYMENTS
 from bamboo_bench.policy.plot import write_plot
+from bamboo_bench.policy.routing_cost import router_cost_lines
 from bamboo_bench.policy.runner import jobs_for, play_all, worst_lines
 from bamboo_bench.policy.scenarios import load_scenarios
 
@@ -31,7 +32,7 @@
     def handle(self) -> int:
         """Run what was asked for; return 1 when a target was not met."""
         if self.option("cost"):
-            self.line("\n".join(gate_cost_lines()))
+            self.line("\n".join([*gate_cost_lines(), *router_cost_lines()]))
             return 0
         known = load_scenarios()
         scenarios = [int(number) for number in self.option("scenario")] or list(known)
