Fixed edits after a store that lost its objects: apply names the nodes that hold later versions

Such an edit was reported as in force, as every node held a higher version. Nodes also announce themselves again when a whole read of the store lacks them.

--- a/bamboojunction/management/commands/table.py
+++ b/bamboojunction/management/commands/table.py
@@ -232,9 +232,22 @@
         for name in rollout.behind:
             held = rollout.by_instance[name].version
             self.line_error(f"not in force: {name} (holds version {held})")
+        if rollout.ahead_of(version) and not await self._is_later_stored(client, rollout):
+            return EXIT_NOT_IN_FORCE
         is_in_force = bool(rollout.in_force) and not rollout.behind
         return EXIT_OK if is_in_force or not rollout.by_instance else EXIT_NOT_IN_FORCE
 
+    async def _is_later_stored(self, client: PlatformClient, rollout: Rollout) -> bool:
+        """Return whether the platform has the later versions that nodes hold."""
+        stored = await self.read_stored(client)
+        ahead = [] if stored.is_err() else rollout.ahead_of(stored.ok().table.version)
+        for name in ahead:
+            held = rollout.by_instance[name].version
+            self.line_error(
+                f"not in force: {name} (holds version {held}, later than the platform's)"
+            )
+        return stored.is_ok() and not ahead
+
 
 class ShowCommand(TableCommand):
     """Print the platform's table."""
--- a/bamboojunction/node/feeds.py
+++ b/bamboojunction/node/feeds.py
@@ -40,6 +40,7 @@
     """Read one collection and hand over the objects that changed.
 
     ``known_revision`` returns the revision up to which the node knows the collection otherwise.
+    ``on_list`` gets the objects whenever the whole collection was read.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self._exchange = exchange
         self._random = generator
         self._take = take
+        self.on_list: Callable[[list[PlatformObject]], None] = lambda items: None
         self._known_revision = known_revision
         self._loop = asyncio.get_running_loop()
         self._backoff = Backoff(generator)
@@ -126,6 +128,7 @@
             case Ok(ObjectList(revision, items)):
                 self._revision = revision
                 self._relist_at = self._loop.time() + RELIST_SECONDS
+                self.on_list(items)
                 return self._answered(items)
             case Ok(WatchBatch(revision, changed, _)):
                 # A stale replica must not make the next watch start earlier.
--- a/bamboojunction/node/platform_sync.py
+++ b/bamboojunction/node/platform_sync.py
@@ -57,6 +57,7 @@
             lambda: exchange.holder.table.version,
         )
         self._upstreams = Feed(COLLECTION, self.client, exchange, generator, self._take_upstreams)
+        self._upstreams.on_list = self._check_own
         self._watch_seconds = settings.watch_seconds
         self._tasks: list[asyncio.Task] = []
 
@@ -137,6 +138,12 @@
             case Err(_):
                 await asyncio.sleep(backoff.failed())
 
+    def _check_own(self, items: list[PlatformObject]) -> None:
+        """Announce this node again when the store has lost its announcement."""
+        is_listed = any(item.name == self._written.name for item in items)
+        if self._written.version and not is_listed:
+            self._own_changed.set()
+
     def _take_tables(self, items: list[PlatformObject]) -> None:
         for item in items:
             if item.name != objects.NAME:
--- a/bamboojunction/operators/table_rollout.py
+++ b/bamboojunction/operators/table_rollout.py
@@ -60,6 +60,10 @@
         others = {*self.in_force, *self.unreachable}
         return sorted(self.by_instance.keys() - others)
 
+    def ahead_of(self, version: int) -> list[str]:
+        """Return the nodes that hold a later version than one."""
+        return self._named(lambda node: node.version > version)
+
     def _named(self, condition: Callable[[NodeProgress], bool]) -> list[str]:
         return sorted(name for name, node in self.by_instance.items() if condition(node))
 
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -12,6 +12,7 @@
 from bamboojunction.core.membership.exchange import HOUSEKEEPING_SECONDS
 from bamboojunction.core.membership.removal import SILENT_SECONDS
 from bamboojunction.core.membership.view import COLLECTION, InstanceState
+from bamboojunction.node import feeds
 
 CENTRES = ("seq-brisbane", "nq-townsville", "seq-goldcoast")
 CONVERGE_SECONDS = 3.0
@@ -277,3 +278,15 @@
         self.assertTrue(all(known))
         self.assertGreater(len(newcomer.view.by_instance), 4)
         await fleet.close()
+
+    @paused
+    async def test_emptied_store_gets_the_announcements_back(self):
+        with mock.patch.object(feeds, "RELIST_SECONDS", 100.0):
+            fleet = await self.start(4)
+            store = fleet.platform.store
+            for kind, name in list(store.by_key):
+                store.delete(kind, name, store.by_key[kind, name].version)
+            await asyncio.sleep(300)
+        stored = {name for kind, name in store.by_key if kind == COLLECTION}
+        self.assertEqual(stored, {node.instance for node in fleet.running})
+        await fleet.close()
