--- a/tests/once_processes/fixtures.py
+++ b/tests/once_processes/fixtures.py
@@ -31,6 +31,9 @@
     def outcomes(self, answers):
         return {answer.outcome for answer in answers if answer is not None}
 
+    def reasons_of(self, answers):
+        return {answer.reason for answer in answers if answer is not None}
+
     def assert_truthful(self, key, answers, effects):
         """Check the number of effects, and that no answer says otherwise or carries another body.
 
--- a/tests/once_processes/test_losses.py
+++ b/tests/once_processes/test_losses.py
@@ -85,7 +85,7 @@
             self.pause(gate)
         key = await self.new_key("bayfinder-1")
         first = await self.fleet.call(
-            "bayfinder-1", "charge", body=b"12.50", key=key, deadline_ms=700
+            "bayfinder-1", "charge", body=key.encode(), key=key, deadline_ms=700
         )
         self.assertEqual(first.outcome, "unknown")
         await asyncio.sleep(0.5)
@@ -95,7 +95,7 @@
         await asyncio.sleep(CHARGE_SECONDS)
         self.assert_truthful(key, [], effects=0)
         answers = await self.resend_hard(EDGES, key)
-        self.assertIn("ran", self.outcomes(answers))
+        self.assertIn("ran", self.outcomes(answers), self.reasons_of(answers))
         self.assert_truthful(key, answers[-1:], effects=1)
 
     @on_fleet
