--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -20,7 +20,8 @@
 from bamboojunction.core.routing.router import AttemptEnd, Chosen, Router, RouteRequest
 from bamboojunction.core.table.rows import Effect, Row
 from bamboojunction.nodes.convert import answer_to_reply, call_to_request
-from bamboojunction.nodes.links import LinkFailure, LinkPool
+from bamboojunction.nodes.link import LinkFailure
+from bamboojunction.nodes.links import LinkPool
 from bamboojunction.nodes.messages import Target
 from bamboojunction.nodes.replies import GateReply
 
--- a/bamboojunction/node/keyed.py
+++ b/bamboojunction/node/keyed.py
@@ -14,7 +14,8 @@
 from bamboojunction.node.calling import CallRouter
 from bamboojunction.node.testimony import GateQuestions
 from bamboojunction.nodes.convert import answer_to_reply, call_to_request
-from bamboojunction.nodes.links import LinkFailure, LinkPool
+from bamboojunction.nodes.link import LinkFailure
+from bamboojunction.nodes.links import LinkPool
 from bamboojunction.nodes.messages import Target
 
 
--- a/bamboojunction/node/testimony.py
+++ b/bamboojunction/node/testimony.py
@@ -9,7 +9,8 @@
 from bamboojunction.core.outcomes import Outcome
 from bamboojunction.node.keyed_gate import FORGOTTEN, KeyedGate
 from bamboojunction.nodes.convert import answer_to_testimony
-from bamboojunction.nodes.links import LinkFailure, LinkPool
+from bamboojunction.nodes.link import LinkFailure
+from bamboojunction.nodes.links import LinkPool
 from bamboojunction.nodes.messages import Seal
 
 ASK_TIMEOUT_SECONDS = 1.0
--- /dev/null
+++ b/bamboojunction/nodes/link.py
@@ -0,0 +1,179 @@
+"""One outgoing link: a WebSocket to a peer and the requests that wait on it."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from websockets.asyncio.client import ClientConnection
+from websockets.exceptions import WebSocketException
+from websockets.protocol import State
+
+from bamboojunction.nodes.codec import decode, encode
+from bamboojunction.nodes.messages import AnyMessage, CallAnswer, Cancel, Heartbeat, SealAnswer
+
+MessageHandler = Callable[[str, AnyMessage], None]
+
+
+class LinkFailure(Enum):
+    """Say what is known of a request that got no answer."""
+
+    NOT_SENT = auto()
+    LOST = auto()
+
+
+@dataclass(slots=True)
+class Handlers:
+    """Hold the handlers of messages that are not answers, by type of message."""
+
+    by_type: dict[type, MessageHandler]
+
+    def dispatch(self, peer: str, message: AnyMessage) -> None:
+        """Hand a message to its handler; a message without one is ignored."""
+        handler = self.by_type.get(type(message))
+        if handler is not None:
+            handler(peer, message)
+
+
+class Link:
+    """Own one WebSocket to a peer and the requests that wait on it."""
+
+    __slots__ = (
+        "_connection",
+        "_handlers",
+        "_heartbeat_seconds",
+        "_last_received",
+        "_loop",
+        "_pending_by_id",
+        "_reader",
+        "_watchdog",
+        "_withdrawals",
+        "last_used",
+        "peer",
+    )
+
+    def __init__(
+        self, connection: ClientConnection, peer: str, handlers: Handlers, heartbeat_seconds: float
+    ):
+        self.peer = peer
+        self._connection = connection
+        self._handlers = handlers
+        self._heartbeat_seconds = heartbeat_seconds
+        self._loop = asyncio.get_running_loop()
+        self._pending_by_id: dict[int, asyncio.Future] = {}
+        self._withdrawals: set[asyncio.Task] = set()
+        self._last_received = self._loop.time()
+        self.last_used = self._last_received
+        self._reader = asyncio.create_task(self._read())
+        self._watchdog = asyncio.create_task(self._watch())
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether messages can be sent."""
+        return self._connection.state is State.OPEN
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether requests wait for answers."""
+        return bool(self._pending_by_id)
+
+    async def request(self, request_id: int, frame: bytes) -> CallAnswer | SealAnswer | LinkFailure:
+        """Send a request and wait for its answer; a lost link ends the wait."""
+        if not self.is_open:
+            return LinkFailure.NOT_SENT
+        future = self._loop.create_future()
+        self._pending_by_id[request_id] = future
+        self.last_used = self._loop.time()
+        try:
+            await self._connection.send(frame)
+            return await future
+        except (WebSocketException, OSError):
+            return LinkFailure.LOST
+        except asyncio.CancelledError:
+            self._withdraw(request_id)
+            raise
+        finally:
+            self._pending_by_id.pop(request_id, None)
+
+    async def send(self, frame: bytes) -> bool:
+        """Send a message that has no answer and return whether it left."""
+        self.last_used = self._loop.time()
+        try:
+            await self._connection.send(frame)
+        except (WebSocketException, OSError):
+            return False
+        return True
+
+    async def close(self) -> None:
+        """Close the WebSocket and end the tasks."""
+        self._watchdog.cancel()
+        await self._connection.close()
+        await asyncio.gather(self._reader, self._watchdog, return_exceptions=True)
+
+    def _withdraw(self, request_id: int) -> None:
+        """Tell the peer without waiting: a stalled link must not hold up a caller's deadline."""
+        if not self.is_open:
+            return
+        task = asyncio.create_task(self.send(encode(Cancel(request_id))))
+        self._withdrawals.add(task)
+        task.add_done_callback(self._withdrawals.discard)
+
+    async def _read(self) -> None:
+        try:
+            async for frame in self._connection:
+                self._last_received = self._loop.time()
+                message = decode(frame).ok() if isinstance(frame, bytes) else None
+                if message is None:
+                    break
+                self._take(message)
+        except (WebSocketException, OSError):
+            pass
+        finally:
+            self.abandon()
+
+    def _take(self, message: AnyMessage) -> None:
+        match message:
+            case CallAnswer(request_id=request_id) | SealAnswer(request_id=request_id):
+                future = self._pending_by_id.pop(request_id, None)
+                if future is not None and not future.done():
+                    future.set_result(message)
+            case Heartbeat():
+                pass
+            case _:
+                self._handlers.dispatch(self.peer, message)
+
+    def abandon(self) -> None:
+        """Close the connection at once; waiting requests are lost."""
+        self._connection.transport.abort()
+        for future in self._pending_by_id.values():
+            if not future.done():
+                future.set_result(LinkFailure.LOST)
+        self._pending_by_id.clear()
+
+    async def _watch(self) -> None:
+        """Abort the link when the peer stays silent for three heartbeats while requests wait."""
+        for token in itertools.count():
+            before = self._loop.time()
+            await asyncio.sleep(self._heartbeat_seconds)
+            now = self._loop.time()
+            # After a pause of this process its own silence says nothing about the peer.
+            if now - before > 2 * self._heartbeat_seconds:
+                self._last_received = now
+            if not self.is_open:
+                return
+            if self.is_busy and now - self._last_received > 3 * self._heartbeat_seconds:
+                self.abandon()
+                return
+            if self.is_busy:
+                await self._send_heartbeat(token)
+            else:
+                self._last_received = now
+
+    async def _send_heartbeat(self, token: int) -> None:
+        """Send within one interval: on a link with full buffers the wait would never end."""
+        try:
+            async with asyncio.timeout(self._heartbeat_seconds):
+                await self.send(encode(Heartbeat(token)))
+        except TimeoutError:
+            return
--- a/bamboojunction/nodes/server.py
+++ b/bamboojunction/nodes/server.py
@@ -10,7 +10,7 @@
 from bamboojunction.nodes.codec import decode, encode
 from bamboojunction.nodes.convert import reply_to_answer
 from bamboojunction.nodes.handshake import Identity, is_proof, new_nonce, prove
-from bamboojunction.nodes.links import Handlers
+from bamboojunction.nodes.link import Handlers
 from bamboojunction.nodes.messages import (
     AnyMessage,
     CallRequest,
--- a/tests/fuzz/test_strangers.py
+++ b/tests/fuzz/test_strangers.py
@@ -12,7 +12,8 @@
 from bamboojunction.core.outcomes import Ran
 from bamboojunction.nodes.codec import encode
 from bamboojunction.nodes.handshake import Identity, new_nonce, prove
-from bamboojunction.nodes.links import Handlers, LinkFailure, LinkPool
+from bamboojunction.nodes.link import Handlers, LinkFailure
+from bamboojunction.nodes.links import LinkPool
 from bamboojunction.nodes.messages import CallRequest, Hello
 from bamboojunction.nodes.replies import GateReply
 from bamboojunction.nodes.server import LinkServer
--- a/tests/links/test_stalls.py
+++ b/tests/links/test_stalls.py
@@ -9,7 +9,8 @@
 from bamboojunction.conf.settings import LinkSettings
 from bamboojunction.core.outcomes import Ran
 from bamboojunction.nodes.handshake import Identity
-from bamboojunction.nodes.links import Handlers, LinkFailure, LinkPool
+from bamboojunction.nodes.link import Handlers, LinkFailure
+from bamboojunction.nodes.links import LinkPool
 from bamboojunction.nodes.messages import CallRequest
 from bamboojunction.nodes.replies import GateReply
 from bamboojunction.nodes.server import LinkServer
