Changed refusals by a gate's level to be final for the action

Cause: gates of one service shed the same actions, so a router that sent a shed call again deep in a chain was refused again, and the slots above were held through its pauses. Calls that would wait too long are refused as full, which another gate may take.

--- a/bamboojunction/core/admission/gate.py
+++ b/bamboojunction/core/admission/gate.py
@@ -70,9 +70,8 @@
         if self._is_doomed(ticket, now):
             return [self._refuse(ticket, NotRunReason.DEADLINE, place)]
         waiting = self._queue.waiting(ticket.rank)
-        if self._shedding.waits_too_long(ticket.rank, waiting):
-            return [self._refuse(ticket, NotRunReason.SHED, place)]
-        if waiting >= self._queue_max:
+        is_too_long = self._shedding.waits_too_long(ticket.rank, waiting)
+        if is_too_long or waiting >= self._queue_max:
             return [self._refuse(ticket, NotRunReason.FULL, place)]
         self._shedding.note_admitted(ticket.rank)
         self._queue.push(ticket)
--- a/bamboojunction/core/retries/policy.py
+++ b/bamboojunction/core/retries/policy.py
@@ -16,6 +16,7 @@
         NotRunReason.KEY_INVALID,
         NotRunReason.KEY_REQUIRED,
         NotRunReason.POISONED,
+        NotRunReason.SHED,
         NotRunReason.SHED_AT_EDGE,
         NotRunReason.TOO_LARGE,
     }
