Freed suspects that are sent on to their instance from the retry budget

An idle router had no budget to send a quarantined call on, as with draining and unreachable upstreams. Nothing ran, and it still costs allowance.

--- a/bamboojunction/core/retries/policy.py
+++ b/bamboojunction/core/retries/policy.py
@@ -20,9 +20,12 @@
         NotRunReason.TOO_LARGE,
     }
 )
-# Refusals by an instance that is leaving or dead. Another attempt goes to another instance and adds
-# no execution, so it costs allowance but nothing of the budget, which an idle router has not got.
-HANDOVER_REASONS = frozenset({NotRunReason.DRAINING, NotRunReason.UNREACHABLE})
+# Refusals by an instance that is leaving, dead or not the one where a suspect may run. Another
+# attempt goes to another instance and adds no execution, so it costs allowance but nothing of the
+# budget, which an idle router has not got.
+HANDOVER_REASONS = frozenset(
+    {NotRunReason.DRAINING, NotRunReason.QUARANTINED, NotRunReason.UNREACHABLE}
+)
 # The caller went away or has no time left.
 FINAL_UNKNOWN_REASONS = frozenset({UnknownReason.CANCELLED, UnknownReason.DEADLINE})
 SERVER_ERROR_STATUS = 500
