--- a/bamboojunction/core/membership/exchange.py
+++ b/bamboojunction/core/membership/exchange.py
@@ -19,6 +19,7 @@
 from bamboojunction.core.membership.peers import Peers
 from bamboojunction.core.membership.removal import Removal
 from bamboojunction.core.membership.ring import Ring
+from bamboojunction.core.membership.sharing import TableSharing, send_to
 from bamboojunction.core.membership.view import (
     BUCKETS,
     Announcement,
@@ -27,7 +28,6 @@
     superseding,
     with_state,
 )
-from bamboojunction.core.table.deltas import DeltaFailure
 from bamboojunction.core.table.holder import TableHolder
 from bamboojunction.core.table.rows import Table
 
@@ -73,6 +73,7 @@
         self.liveness = Liveness()
         self.removal = Removal(own.instance, self.ring, view, self.liveness)
         self.peers = Peers(own.instance, self.ring, view, self.liveness, generator)
+        self._tables = TableSharing(view, holder, self.peers)
         self.is_superseded = False
         self._seeds = [address for address in seeds if address != own.address]
         self._random = generator
@@ -112,9 +113,9 @@
             case WholeTable(table):
                 return self.offer_table(table, now, source=peer)
             case ChangedRows():
-                return self._take_rows(peer, message, now)
+                return self._tables.take_rows(peer, message, now)
             case TableWanted(version):
-                return self._send_table(peer, version)
+                return self._tables.send(peer, version)
             case SilenceReport(instance, incarnation):
                 self.removal.reported(peer, instance, incarnation, now)
                 return []
@@ -129,7 +130,7 @@
         sends: list[Send] = []
         for peer in peers:
             entries = tuple(entry for entry, source in outbox if source != peer)
-            sends += self._to(peer, News(entries)) if entries else []
+            sends += send_to(self.view, peer, News(entries)) if entries else []
         return sends
 
     def announce(self, own: Announcement, now: float) -> None:
@@ -147,10 +148,7 @@
 
     def offer_table(self, table: Table, now: float, source: str = "") -> list[Send]:
         """Put a newer table in force and pass it on at once."""
-        before = self.holder.table.version
-        if not self.holder.offer(table):
-            return []
-        return self._push_table(before, source, now)
+        return self._tables.offer(table, source, now)
 
     def platform_answered(self, now: float) -> None:
         """Record that the platform is reachable."""
@@ -191,7 +189,7 @@
         if peer is None:
             return []
         self.liveness.probed(peer, now)
-        return self._to(peer, self._summary(now, is_answer=False))
+        return send_to(self.view, peer, self._summary(now, is_answer=False))
 
     def _ask_seeds(self, now: float) -> list[Send]:
         is_alone = len(self.view.present()) <= 1
@@ -221,7 +219,7 @@
                 continue
             report = SilenceReport(entry.instance, entry.incarnation)
             for monitor in self.removal.other_monitors(entry.instance):
-                sends += self._to(monitor, report)
+                sends += send_to(self.view, monitor, report)
         return sends
 
     def _clean(self, now: float) -> None:
@@ -243,12 +241,12 @@
             return [Send(summary.address, self._introduction())] if summary.address else []
         sends: list[Send] = []
         if not summary.is_answer:
-            sends += self._to(peer, self._summary(now, is_answer=True))
+            sends += send_to(self.view, peer, self._summary(now, is_answer=True))
         if summary.table_version < self.holder.table.version:
-            sends += self._send_table(peer, summary.table_version)
+            sends += self._tables.send(peer, summary.table_version)
         if not summary.is_answer and self._differs(summary) and self._may_compare(now):
             self._compared_at = now
-            sends += self._to(peer, BucketHashes(tuple(self.view.hashes)))
+            sends += send_to(self.view, peer, BucketHashes(tuple(self.view.hashes)))
         return sends
 
     def _differs(self, summary: Summary) -> bool:
@@ -272,7 +270,7 @@
         if not buckets:
             return []
         entries = tuple(self.view.in_buckets(buckets))
-        return self._to(peer, BucketEntries(buckets, entries))
+        return send_to(self.view, peer, BucketEntries(buckets, entries))
 
     def _take_buckets(
         self,
@@ -294,7 +292,7 @@
             if self.view.by_instance[entry.instance].is_gone
         ]
         later = tuple(missing + gone)
-        return self._to(peer, News(later)) if later else []
+        return send_to(self.view, peer, News(later)) if later else []
 
     def _merge(self, entries: Iterable[Announcement], source: str, now: float) -> None:
         accepted = [entry for entry in entries if self._accept(entry, now)]
@@ -325,28 +323,3 @@
         is_young = self._started_at is None or now - self._started_at < YOUNG_SECONDS
         self.is_superseded = entry.incarnation != self.own.incarnation and not is_young
         return not self.is_superseded
-
-    def _take_rows(self, peer: str, rows: ChangedRows, now: float) -> list[Send]:
-        before = self.holder.table.version
-        result = self.holder.offer_delta(rows.delta)
-        if result.is_ok():
-            return self._push_table(before, peer, now)
-        if result.err() is DeltaFailure.OLD:
-            return []
-        return self._to(peer, TableWanted(before))
-
-    def _push_table(self, before: int, source: str, now: float) -> list[Send]:
-        others = (peer for peer in self.peers.all(now) if peer != source)
-        return [send for peer in others for send in self._send_table(peer, before)]
-
-    def _send_table(self, peer: str, version: int) -> list[Send]:
-        if version >= self.holder.table.version:
-            return []
-        delta = self.holder.delta_from(version)
-        if delta is None or version == 0:
-            return self._to(peer, WholeTable(self.holder.table))
-        return self._to(peer, ChangedRows(delta))
-
-    def _to(self, peer: str, message: ExchangeMessage) -> list[Send]:
-        entry = self.view.by_instance.get(peer)
-        return [Send(entry.address, message)] if entry is not None else []
