--- a/bamboojunction/node/feeds.py
+++ b/bamboojunction/node/feeds.py
@@ -67,8 +67,7 @@
         self._again = asyncio.Event()
 
     def read_again(self) -> None:
-        """Read the whole collection soon."""
-        self._revision = None
+        """Read what changed since the last read soon."""
         self._again.set()
 
     async def poll(self) -> None:
