--- a/devtools/bamboo_standins/demo.py
+++ b/devtools/bamboo_standins/demo.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from bamboo_standins.deployments import CYCLE_BAYS
-from bamboo_standins.example import read_example_table
+from bamboo_standins.example import read_example_table, start_example
 from bamboo_standins.fleet import Fleet
 from bamboo_standins.ledger import LedgerAudit
 from bamboo_standins.upstream import INSTANCE_HEADER
@@ -243,7 +243,8 @@
         "data centres, with stand-ins for the upstreams and the platform"
     )
     try:
-        await fleet.start()
+        if not await start_example(fleet):
+            return 1
         await Demo(fleet, table, account).run()
     finally:
         await fleet.stop()
--- a/devtools/bamboo_standins/example.py
+++ b/devtools/bamboo_standins/example.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import signal
+import sys
 import tempfile
 from pathlib import Path
 
@@ -21,7 +22,24 @@
     return (EXAMPLES / deployment.name / "table.csv").read_text()
 
 
-async def keep_running(deployment: Deployment, directory: Path) -> None:
+async def start_example(fleet: Fleet) -> bool:
+    """Start a fleet and return whether it is whole; if it is not, print the state of each node."""
+    try:
+        await fleet.start()
+    except TimeoutError:
+        print("the example did not start in time", flush=True)
+        for name, running in fleet.by_instance.items():
+            code = None if running.node is None else running.node.returncode
+            log_path = fleet.directory / f"{name}-node.log"
+            lines = log_path.read_text().splitlines() if log_path.exists() else []
+            print(
+                f"  {name}: exit code {code}; last line: {lines[-1] if lines else ''}", flush=True
+            )
+        return False
+    return True
+
+
+async def keep_running(deployment: Deployment, directory: Path) -> int:
     """Start the example, print where callers reach it, and stop it on SIGINT or SIGTERM."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -29,7 +47,8 @@
         loop.add_signal_handler(signal_number, stop.set)
     fleet = Fleet(directory, deployment.plans(), read_example_table(deployment))
     try:
-        await fleet.start()
+        if not await start_example(fleet):
+            return 1
         print(f"platform  127.0.0.1:{fleet.platform_port}")
         for name, running in fleet.by_instance.items():
             print(f"{name}  callers {running.caller_address}  upstream {running.upstream_address}")
@@ -37,6 +56,7 @@
         await stop.wait()
     finally:
         await fleet.stop()
+    return 0
 
 
 def main() -> None:
@@ -45,7 +65,7 @@
     parser.add_argument("deployment", choices=sorted(DEPLOYMENT_BY_NAME))
     deployment = DEPLOYMENT_BY_NAME[parser.parse_args().deployment]
     with tempfile.TemporaryDirectory() as directory, contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(keep_running(deployment, Path(directory)))
+        sys.exit(asyncio.run(keep_running(deployment, Path(directory))))
 
 
 if __name__ == "__main__":
