--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -24,8 +25,12 @@
 POLL_SECONDS = 0.05
 STOP_SECONDS = 30.0
 FIRST_DATA_CENTRE = 10
+LISTENING_PORTS = (10_000, 32_000)
+STATE_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
 LINK_SECRET = "fleet-secret"
 
+_PORTS = random.SystemRandom()
+
 
 @dataclass(slots=True, frozen=True)
 class InstancePlan:
@@ -224,9 +229,9 @@
         """Read a node's state page."""
         url = f"http://{self.by_instance[name].caller_address}/_bamboo/state"
         try:
-            async with self._session.get(url) as response:
+            async with self._session.get(url, timeout=STATE_TIMEOUT) as response:
                 return await response.json()
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, TimeoutError):
             return None
 
     async def call(
@@ -381,10 +386,19 @@
 
 
 def free_port(host: str) -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port that nothing listens on, outside the range of outgoing connections.
+
+    The kernel gives ports of that range to outgoing connections at any time, also between this
+    look and the start of the process that is to listen.
+    """
+    while True:
+        port = _PORTS.randrange(*LISTENING_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return port
 
 
 def _header(keyword: str) -> str:
