Raised the goodput of unequal upstreams by weighing work beyond the slots

Cause: least expected completion queued at fast upstreams until their gates shed, while slow ones had free slots.

--- a/bamboojunction/core/routing/estimates.py
+++ b/bamboojunction/core/routing/estimates.py
@@ -12,6 +12,8 @@
 # Kinds remembered for one upstream; the kind that was seen first makes room.
 KINDS_MAX = 128
 NETWORK_RISE = 0.05
+# Work beyond the slots counts this much more, as a gate sheds before its queue has grown long.
+CROWDING_FACTOR = 8.0
 
 
 @dataclass(slots=True)
@@ -133,7 +135,8 @@
 
     def completion_seconds(self, kind: str, pressure: float, now: float) -> float:
         """Return the expected time from sending a call to its answer."""
-        return self.service_seconds(kind, now) * (1.0 + pressure) + self.network
+        crowding = max(0.0, pressure - 1.0) * CROWDING_FACTOR
+        return self.service_seconds(kind, now) * (1.0 + pressure + crowding) + self.network
 
     def pressure(self, now: float) -> float:
         """Return the work per slot; an old report fades into the mean of the service."""
