--- a/bamboojunction/management/commands/node.py
+++ b/bamboojunction/management/commands/node.py
@@ -19,6 +19,7 @@
 from bamboojunction.conf.loader import load_settings
 from bamboojunction.conf.settings import Settings
 from bamboojunction.management.application import SingleCommandApplication
+from bamboojunction.node.collection import tune_collection
 from bamboojunction.node.process import Node
 from bamboojunction.telemetry.logs import configure_logs
 
@@ -37,6 +38,7 @@
     try:
         node = Node(settings)
         await node.start()
+        tune_collection()
     except OSError as error:
         return Err(f"cannot listen: {error}")
     stop = asyncio.Event()
