--- a/devtools/bamboo_bench/capacity/control.py
+++ b/devtools/bamboo_bench/capacity/control.py
@@ -2,10 +2,9 @@
 
 import asyncio
 
-from bamboo_standins.paused_clock import run_paused
-
 from bamboo_bench.capacity.slopes import Point, Slope
 from bamboo_bench.state.measure import FleetFigures, FleetMeasurement
+from bamboo_standins.paused_clock import run_paused
 
 COMMAND = "bamboo-bench capacity --part control"
 SIZES = (13, 50, 100)
--- a/devtools/bamboo_bench/capacity/processes.py
+++ b/devtools/bamboo_bench/capacity/processes.py
@@ -4,10 +4,9 @@
 import tempfile
 from pathlib import Path
 
-from bamboo_standins.fleet import Fleet, InstancePlan
-
 from bamboo_bench.capacity.slopes import Point, Slope
 from bamboo_bench.path.chains import ProcessorTime, resident_bytes
+from bamboo_standins.fleet import Fleet, InstancePlan
 
 COMMAND = "bamboo-bench capacity --part processes"
 SIZES = (4, 12, 24)
--- a/devtools/bamboo_bench/once/cost.py
+++ b/devtools/bamboo_bench/once/cost.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import aiohttp
+
 from bamboo_standins.fleet import Fleet, InstancePlan
 
 TABLE = """kind,rank,weight,effect,deadline_ms,retries,slots_max,services
--- a/devtools/bamboo_bench/soak/account.py
+++ b/devtools/bamboo_bench/soak/account.py
@@ -3,9 +3,8 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from bamboo_standins.ledger import LedgerAudit
-
 from bamboo_bench.soak.load import Records
+from bamboo_standins.ledger import LedgerAudit
 
 
 @dataclass(slots=True, frozen=True)
--- a/devtools/bamboo_bench/soak/command.py
+++ b/devtools/bamboo_bench/soak/command.py
@@ -8,9 +8,6 @@
 from dataclasses import asdict
 from pathlib import Path
 
-from bamboo_standins.deployments import DEPLOYMENT_BY_NAME
-from bamboo_standins.example import read_example_table
-from bamboo_standins.fleet import Fleet
 from cleo.commands.command import Command
 from cleo.helpers import option
 
@@ -18,6 +15,9 @@
 from bamboo_bench.soak.account import Account
 from bamboo_bench.soak.faults import FaultSource
 from bamboo_bench.soak.load import Caller, Records
+from bamboo_standins.deployments import DEPLOYMENT_BY_NAME
+from bamboo_standins.example import read_example_table
+from bamboo_standins.fleet import Fleet
 from bamboojunction.core.table.csvfile import parse_table
 from bamboojunction.core.table.rows import Effect
 
--- a/devtools/bamboo_bench/soak/load.py
+++ b/devtools/bamboo_bench/soak/load.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 
 import aiohttp
-from bamboo_standins.fleet import Fleet
 
+from bamboo_standins.fleet import Fleet
 from bamboojunction.core.table.rows import Effect, Row, Table
 
 RESENDS_MAX = 6
--- a/devtools/bamboo_bench/state/command.py
+++ b/devtools/bamboo_bench/state/command.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from dataclasses import asdict
 
-from bamboo_standins.paused_clock import run_paused
 from cleo.commands.command import Command
 from cleo.helpers import option
 from loguru import logger
 
 from bamboo_bench.state.fit import Line
 from bamboo_bench.state.measure import FleetFigures, FleetMeasurement
+from bamboo_standins.paused_clock import run_paused
 
 SIZES = "13,50,150,300"
 TABLE_ROWS = (10, 100, 400)
--- a/tests/bench/test_state.py
+++ b/tests/bench/test_state.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from loguru import logger
+
 from bamboo_bench.state.command import (
     CONTROL_BYTES_PER_SECOND,
     IN_FORCE_SECONDS,
@@ -11,7 +13,6 @@
 from bamboo_bench.state.fit import Line
 from bamboo_bench.state.measure import FleetMeasurement
 from bamboo_standins.paused_clock import run_paused
-from loguru import logger
 
 
 class StateBenchTests(unittest.TestCase):
--- a/tests/callers/test_protocol.py
+++ b/tests/callers/test_protocol.py
@@ -4,7 +4,6 @@
 import unittest
 
 from bamboo_standins.fleet import free_port
-
 from bamboojunction.callers.server import CallerServer
 from bamboojunction.conf.settings import CallerSettings
 
--- a/tests/fuzz/test_strangers.py
+++ b/tests/fuzz/test_strangers.py
@@ -4,10 +4,10 @@
 import unittest
 
 import cbor2
-from bamboo_standins.fleet import free_port
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed
 
+from bamboo_standins.fleet import free_port
 from bamboojunction.conf.settings import LinkSettings
 from bamboojunction.core.outcomes import Ran
 from bamboojunction.nodes.codec import encode
--- a/tests/links/test_stalls.py
+++ b/tests/links/test_stalls.py
@@ -5,7 +5,6 @@
 
 from bamboo_standins.fault_proxy import FaultProxy, ProxyFaults
 from bamboo_standins.fleet import free_port
-
 from bamboojunction.conf.settings import LinkSettings
 from bamboojunction.core.outcomes import Ran
 from bamboojunction.nodes.handshake import Identity
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -4,10 +4,10 @@
 import unittest
 from unittest import mock
 
-from bamboo_standins.memory_fleet import STARTED_AT, MemoryFleet, table_text
-from bamboo_standins.paused_clock import paused
 from loguru import logger
 
+from bamboo_standins.memory_fleet import STARTED_AT, MemoryFleet, table_text
+from bamboo_standins.paused_clock import paused
 from bamboojunction.core.membership import removal
 from bamboojunction.core.membership.exchange import HOUSEKEEPING_SECONDS
 from bamboojunction.core.membership.removal import SILENT_SECONDS
--- a/tests/once/test_search.py
+++ b/tests/once/test_search.py
@@ -4,11 +4,12 @@
 import unittest
 from dataclasses import replace
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from bamboo_bench.once.scenarios import breaks, scenarios, small
 from bamboo_bench.once.search import search, walk
 from bamboo_bench.once.world import Budget, Violation
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 STATES_MAX = 1_500
 BREAK_STATES_MAX = 5_000
--- a/tests/once_processes/test_losses.py
+++ b/tests/once_processes/test_losses.py
@@ -4,7 +4,6 @@
 import signal
 
 from bamboo_standins.fault_proxy import ProxyFaults
-
 from tests.once_processes.fixtures import CHARGE_SECONDS, HardResendTestCase
 from tests.processes.base import PAYMENTS, WAIT_SECONDS, on_fleet
 
--- a/tests/platform_store/test_budget.py
+++ b/tests/platform_store/test_budget.py
@@ -6,7 +6,6 @@
 
 from bamboo_standins.memory_platform import MemoryPlatformClient, SharedPlatform
 from bamboo_standins.paused_clock import paused
-
 from bamboojunction.platform.budget import (
     BACKOFF_MAX_SECONDS,
     FLEET_READS_PER_SECOND,
--- a/tests/platform_store/test_http_client.py
+++ b/tests/platform_store/test_http_client.py
@@ -4,8 +4,8 @@
 
 import aiohttp
 from aiohttp import web
-from bamboo_standins.platform import Faults, PlatformStandIn
 
+from bamboo_standins.platform import Faults, PlatformStandIn
 from bamboojunction.platform.client import PlatformErrorKind
 from bamboojunction.platform.http import HttpPlatformClient
 
--- a/tests/processes/test_keyed_faults.py
+++ b/tests/processes/test_keyed_faults.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from bamboo_standins.fault_proxy import Direction, ProxyFaults
-
 from tests.matrix.cells import Fault, Step, proves
 from tests.processes.base import PAYMENTS, FleetTestCase, on_fleet
 
--- a/tests/processes/test_table_faults.py
+++ b/tests/processes/test_table_faults.py
@@ -4,7 +4,6 @@
 import signal
 
 from bamboo_standins.fault_proxy import ProxyFaults
-
 from tests.matrix.cells import Fault, Step, proves
 from tests.processes.base import TABLE, FleetTestCase, on_fleet
 
--- a/tests/standins/test_deployments.py
+++ b/tests/standins/test_deployments.py
@@ -4,7 +4,6 @@
 
 from bamboo_standins.deployments import CYCLE_BAYS, DEPLOYMENT_BY_NAME, KHMIRA
 from bamboo_standins.example import EXAMPLES, read_example_table
-
 from bamboojunction.checks.builtin import check_settings
 from bamboojunction.conf.loader import load_settings
 from bamboojunction.core.table.csvfile import parse_table
--- a/tests/standins/test_ledger.py
+++ b/tests/standins/test_ledger.py
@@ -3,7 +3,6 @@
 import unittest
 
 from bamboo_standins.ledger import LedgerAudit
-
 from bamboojunction.core.once.keys import ActionKey
 from bamboojunction.management.load.client import CallResult, Ending
 
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import msgspec
+
 from bamboo_standins.upstream import Faults, LedgerEntry, OnwardCall, Upstream, UpstreamConfig
 
 KEYED = {"Bamboo-Key": "home/1/0/nonce", "Bamboo-Kind": "reserve", "Bamboo-Action": "action-1"}
--- a/tests/table/test_apply.py
+++ b/tests/table/test_apply.py
@@ -5,11 +5,11 @@
 import unittest
 from unittest import mock
 
+from result import Err
+
 from bamboo_standins.memory_fleet import table_text, with_weight
 from bamboo_standins.memory_platform import MemoryPlatformClient, SharedPlatform
 from bamboo_standins.paused_clock import paused
-from result import Err
-
 from bamboojunction.core.table.csvfile import parse_table
 from bamboojunction.core.table.diff import kind_of
 from bamboojunction.core.table.objects import COLLECTION, NAME, Edit, read_object
--- a/tests/table/test_in_force.py
+++ b/tests/table/test_in_force.py
@@ -4,10 +4,10 @@
 import unittest
 from unittest import mock
 
-from bamboo_standins.memory_fleet import MemoryFleet, table_text, with_weight
-from bamboo_standins.paused_clock import paused
 from loguru import logger
 
+from bamboo_standins.memory_fleet import MemoryFleet, table_text, with_weight
+from bamboo_standins.paused_clock import paused
 from bamboojunction.core.membership.messages import ChangedRows, WholeTable
 from bamboojunction.core.table.rows import DEFAULT_ROW
 from bamboojunction.node import feeds
--- a/tests/table/test_rollout.py
+++ b/tests/table/test_rollout.py
@@ -4,8 +4,8 @@
 
 import msgspec
 from aiohttp import web
-from bamboo_standins.memory_platform import MemoryPlatformClient, SharedPlatform
 
+from bamboo_standins.memory_platform import MemoryPlatformClient, SharedPlatform
 from bamboojunction.core.membership.view import COLLECTION, Announcement
 from bamboojunction.operators.table_rollout import wait_in_force
 
--- a/tests/telemetry/test_exports.py
+++ b/tests/telemetry/test_exports.py
@@ -8,9 +8,10 @@
 
 import aiohttp
 from aiohttp import web
-from bamboo_standins.fleet import Fleet, InstancePlan
 from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import ExportTraceServiceRequest
 
+from bamboo_standins.fleet import Fleet, InstancePlan
+
 TABLE = """kind,rank,weight,effect,deadline_ms,retries,slots_max,services
 bay-search,3,10,idempotent,20000,2,0,bayfinder payments
 """
