--- a/devtools/bamboo_bench/capacity/control.py
+++ b/devtools/bamboo_bench/capacity/control.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from loguru import logger
+
 from bamboo_bench.capacity.slopes import Point, Slope
 from bamboo_bench.state.measure import FleetFigures, FleetMeasurement
 from bamboo_standins.paused_clock import run_paused
@@ -21,6 +23,8 @@
 
 def measure() -> list[Slope]:
     """Return the slopes of bytes for each node and of the store's rates."""
+    # Hundreds of nodes log each edit of the table.
+    logger.disable("bamboojunction")
     figures = [run_paused(_measure(size)) for size in SIZES]
     return [
         _slope("control for each node", "bytes/s", figures, _control_bytes, BYTES_MAX),
--- a/devtools/bamboo_bench/policy/world.py
+++ b/devtools/bamboo_bench/policy/world.py
@@ -4,16 +4,11 @@
 from collections.abc import Callable
 from itertools import count
 
+from bamboo_bench.policy.calls import LOCAL_ONE_WAY_SECONDS, LOST_LINK_SECONDS, Reply, SimCall
 from bamboo_bench.policy.clock import VirtualClock
 from bamboo_bench.policy.deployments import Deployment
 from bamboo_bench.policy.ledger import Ledger, Window
-from bamboo_bench.policy.node import (
-    LOCAL_ONE_WAY_SECONDS,
-    LOST_LINK_SECONDS,
-    FakeNode,
-    Reply,
-    SimCall,
-)
+from bamboo_bench.policy.node import FakeNode
 from bamboo_bench.policy.policies import Policy
 from bamboo_bench.policy.upstream import FakeUpstream
 from bamboojunction.core.membership.view import Announcement
