--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -180,3 +180,53 @@
         self.assertNotIn(gate, {answer.headers.get("Upstream-Instance") for answer in answers})
         self.assertEqual({answer.outcome for answer in answers}, {"ran"})
         self.assertEqual((await holding).outcome, "ran")
+
+    @on_fleet
+    async def test_upstream_stopped_under_its_node_cuts_nothing(self):
+        stop = asyncio.Event()
+        readers = asyncio.create_task(self.read_until(stop))
+        await asyncio.sleep(0.5)
+        upstream = self.fleet.by_instance["payments-1"].upstream
+        upstream.terminate()
+        await upstream.wait()
+        await asyncio.sleep(0.5)
+        stop.set()
+        self.assertEqual(set(await readers), {"ran"})
+
+    @on_fleet
+    async def test_node_and_then_its_upstream_stopped_cuts_nothing(self):
+        stop = asyncio.Event()
+        readers = asyncio.create_task(self.read_until(stop))
+        await asyncio.sleep(0.5)
+        await self.fleet.stop_node("payments-1")
+        upstream = self.fleet.by_instance["payments-1"].upstream
+        upstream.terminate()
+        await upstream.wait()
+        await asyncio.sleep(0.5)
+        stop.set()
+        self.assertEqual(set(await readers), {"ran"})
+
+    @on_fleet
+    async def test_data_centre_stopped_node_by_node_cuts_nothing(self):
+        stop = asyncio.Event()
+
+        async def read() -> list[str]:
+            outcomes = []
+            while not stop.is_set():
+                answer = await self.fleet.call("bayfinder-1", "occupancy", body=b"x")
+                outcomes.append(answer.outcome)
+            return outcomes
+
+        readers = [asyncio.create_task(read()) for _ in range(READERS)]
+        south = [
+            name
+            for name, each in self.fleet.by_instance.items()
+            if each.plan.data_centre == "south"
+        ]
+        await asyncio.sleep(0.5)
+        for name in south:
+            self.assertEqual(await self.fleet.stop_node(name), 0)
+        await asyncio.sleep(0.5)
+        stop.set()
+        outcomes = {outcome for outcomes in await asyncio.gather(*readers) for outcome in outcomes}
+        self.assertEqual(outcomes, {"ran"})
