Fixed slopes that extrapolated a falling line

Cause: control bytes fell from 714 to 650 between 13 and 100 nodes, and the line gave 49 bytes a second at 950. The last measured value stands now where a line falls.

--- a/devtools/bamboo_bench/capacity/slopes.py
+++ b/devtools/bamboo_bench/capacity/slopes.py
@@ -36,8 +36,8 @@
 
     @property
     def at_target(self) -> float:
-        """Return the value of the line at the size to design for."""
-        return self.line.at(self.target_size)
+        """Return the value at the size to design for; a falling line is not drawn on."""
+        return max(self.line.at(self.target_size), self.points[-1].value)
 
     @property
     def is_met(self) -> bool:
