--- a/tests/processes/base.py
+++ b/tests/processes/base.py
@@ -8,6 +8,7 @@
 import unittest
 import uuid
 from pathlib import Path
+from typing import NamedTuple
 
 from bamboo_standins.fleet import Answer, Fleet, InstancePlan
 
@@ -28,6 +29,14 @@
 PAYMENTS = ("payments-1", "payments-2")
 
 
+class RunningCharge(NamedTuple):
+    """Hold a charge that runs: its key, the answer to come and the instance that runs it."""
+
+    key: str
+    answer: asyncio.Task
+    gate: str
+
+
 def on_fleet(method):
     """Run an async test method on the event loop of the class's fleet."""
 
@@ -120,6 +129,15 @@
         for name in PAYMENTS:
             await self.fleet.upstream_faults(name, slow_factor=seconds / 0.005)
 
+    async def running_charge(
+        self, seconds: float, home: str = "bayfinder-1", through: str = "bayfinder-1"
+    ) -> RunningCharge:
+        """Send a charge that takes a time at its upstream and wait until it runs there."""
+        key = await self.new_key(home)
+        await self.slow_payments(seconds)
+        answer = asyncio.create_task(self.charge(through, key))
+        return RunningCharge(key, answer, await self.running_gate())
+
     async def running_gate(self) -> str:
         """Wait until a charge runs and return the instance that runs it."""
         async with asyncio.timeout(WAIT_SECONDS):
--- a/tests/processes/test_keyed_faults.py
+++ b/tests/processes/test_keyed_faults.py
@@ -14,10 +14,7 @@
     @proves(Fault.NODE_CRASH, Step.RUNNING)
     @on_fleet
     async def test_gate_killed_mid_charge(self):
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(0.5)
-        first = asyncio.create_task(self.charge("bayfinder-1", key))
-        gate = await self.running_gate()
+        key, first, gate = await self.running_charge(0.5)
         await self.fleet.kill_node(gate)
         answer = await first
         self.assertEqual(answer.outcome, "unknown")
@@ -27,10 +24,7 @@
     @proves(Fault.NODE_CRASH, Step.RETRY)
     @on_fleet
     async def test_home_killed_mid_charge_and_resent_elsewhere(self):
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(0.5)
-        first = asyncio.create_task(self.charge("reservations-1", key))
-        await self.running_gate()
+        key, first, _ = await self.running_charge(0.5, through="reservations-1")
         await self.fleet.kill_node("bayfinder-1")
         answer = await first
         outcomes = await self.charge_until_ran(("bayfinder-2", "reservations-1"), key, RESENDS)
@@ -39,10 +33,7 @@
     @proves(Fault.NODE_CRASH, Step.ENTRY)
     @on_fleet
     async def test_callers_node_killed_mid_charge(self):
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(0.5)
-        first = asyncio.create_task(self.charge("bayfinder-2", key))
-        await self.running_gate()
+        key, first, _ = await self.running_charge(0.5, through="bayfinder-2")
         await self.fleet.kill_node("bayfinder-2")
         self.assertIsNone(await first)
         outcomes = await self.charge_until_ran(("bayfinder-1", "reservations-1"), key, RESENDS)
@@ -61,10 +52,7 @@
     @proves(Fault.HOLDER_PAUSED, Step.RUNNING, Step.ANSWER)
     @on_fleet
     async def test_gate_paused_mid_charge_past_every_timeout(self):
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(0.5)
-        first = asyncio.create_task(self.charge("bayfinder-1", key))
-        gate = await self.running_gate()
+        key, first, gate = await self.running_charge(0.5)
         self.pause(gate)
         answer = await first
         self.assertEqual(answer.outcome, "unknown")
@@ -115,10 +103,7 @@
     @proves(Fault.HOLDER_PAUSED, Step.RETRY)
     @on_fleet
     async def test_home_paused_mid_charge_while_the_caller_resends(self):
-        key = await self.new_key("bayfinder-2")
-        await self.slow_payments(0.4)
-        first = asyncio.create_task(self.charge("bayfinder-1", key))
-        await self.running_gate()
+        key, first, _ = await self.running_charge(0.4, home="bayfinder-2")
         self.pause("bayfinder-2")
         answer = await first
         outcomes = await self.charge_until_ran(("bayfinder-1", "reservations-1"), key, 6)
@@ -133,10 +118,7 @@
     @proves(Fault.UPSTREAM_CRASH, Step.RUNNING)
     @on_fleet
     async def test_upstream_killed_mid_charge(self):
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(0.5)
-        first = asyncio.create_task(self.charge("bayfinder-1", key))
-        gate = await self.running_gate()
+        key, first, gate = await self.running_charge(0.5)
         await self.fleet.kill_upstream(gate)
         answer = await first
         self.assertEqual(answer.outcome, "unknown")
@@ -190,10 +172,7 @@
 class LinkFaultTests(FleetTestCase):
     async def charge_with_fault_while_running(self, faults: ProxyFaults) -> tuple[str, list[str]]:
         """Put a fault on the running gate's links mid-charge, resend, heal and resend."""
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(0.5)
-        first = asyncio.create_task(self.charge("bayfinder-1", key))
-        gate = await self.running_gate()
+        key, first, gate = await self.running_charge(0.5)
         self.fleet.by_instance[gate].proxy.set_faults(faults)
         answer = await first
         outcomes = [answer.outcome, *await self.charge_until_ran(NODES, key, 5)]
@@ -254,10 +233,7 @@
     @proves(Fault.DATA_CENTRE_CUT, Step.RUNNING, Step.ANSWER, Step.RETRY)
     @on_fleet
     async def test_data_centre_cut_mid_charge(self):
-        key = await self.new_key("bayfinder-2")
-        await self.slow_payments(0.5)
-        first = asyncio.create_task(self.charge("bayfinder-1", key))
-        await self.running_gate()
+        key, first, _ = await self.running_charge(0.5, home="bayfinder-2")
         self.fleet.cut_data_centre("north")
         answer = await first
         outcomes = [answer.outcome, *await self.charge_until_ran(NODES, key, RESENDS)]
--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -60,10 +60,7 @@
     @proves(Fault.DEEP_SERVICE_SLOW, Step.DRAIN)
     @on_fleet
     async def test_running_charge_is_finished_before_the_node_ends(self):
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(1.0)
-        charge = asyncio.create_task(self.charge("bayfinder-1", key))
-        gate = await self.running_gate()
+        key, charge, gate = await self.running_charge(1.0)
         code = await self.fleet.stop_node(gate)
         answer = await charge
         self.assertEqual((code, answer.outcome), (0, "ran"))
@@ -91,10 +88,7 @@
     @proves(Fault.HOLDER_PAUSED, Step.DRAIN)
     @on_fleet
     async def test_node_paused_during_its_stop_still_ends_and_runs_nothing_twice(self):
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(0.5)
-        charge = asyncio.create_task(self.charge("bayfinder-1", key))
-        gate = await self.running_gate()
+        key, charge, gate = await self.running_charge(0.5)
         self.fleet.signal_node(gate, signal.SIGTERM)
         self.pause(gate)
         await asyncio.sleep(2.0)
@@ -107,10 +101,7 @@
     @proves(Fault.NODE_CRASH, Step.DRAIN)
     @on_fleet
     async def test_node_killed_during_its_stop(self):
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(0.8)
-        charge = asyncio.create_task(self.charge("bayfinder-1", key))
-        gate = await self.running_gate()
+        key, charge, gate = await self.running_charge(0.8)
         self.fleet.signal_node(gate, signal.SIGTERM)
         await asyncio.sleep(0.2)
         await self.fleet.kill_node(gate)
@@ -121,10 +112,7 @@
     @proves(Fault.UPSTREAM_CRASH, Step.DRAIN)
     @on_fleet
     async def test_upstream_killed_during_the_stop(self):
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(0.8)
-        charge = asyncio.create_task(self.charge("bayfinder-1", key))
-        gate = await self.running_gate()
+        key, charge, gate = await self.running_charge(0.8)
         self.fleet.signal_node(gate, signal.SIGTERM)
         await self.fleet.kill_upstream(gate)
         answer = await charge
@@ -136,10 +124,7 @@
     @proves(Fault.LINK_CUT, Step.DRAIN)
     @on_fleet
     async def test_links_cut_during_the_stop(self):
-        key = await self.new_key("bayfinder-1")
-        await self.slow_payments(0.8)
-        charge = asyncio.create_task(self.charge("bayfinder-1", key))
-        gate = await self.running_gate()
+        key, charge, gate = await self.running_charge(0.8)
         self.fleet.signal_node(gate, signal.SIGTERM)
         self.fleet.by_instance[gate].proxy.set_faults(ProxyFaults(cut=True))
         answer = await charge
