--- a/devtools/bamboo_bench/policy/runner.py
+++ b/devtools/bamboo_bench/policy/runner.py
@@ -132,7 +132,7 @@
 
 
 def _worst(key: tuple, found: list[tuple[int, Measure]]) -> Line:
-    lower_is_worse = found[0][1].at_most is None
-    pick = min if lower_is_worse else max
+    first = found[0][1]
+    pick = max if first.at_most is not None or first.higher_is_worse else min
     seed, measure = pick(found, key=lambda entry: entry[1].value)
     return Line(*key, measure, seed, [entry.value for _, entry in found])
--- a/devtools/bamboo_bench/policy/scenarios/__init__.py
+++ b/devtools/bamboo_bench/policy/scenarios/__init__.py
@@ -16,12 +16,14 @@
     """Hold one figure of a run and the stated target it has to meet, if it has one.
 
     ``at_least`` and ``at_most`` are the bounds; a baseline is measured but not judged.
+    ``higher_is_worse`` says so of a figure without a bound, such as a time.
     """
 
     metric: str
     value: float
     at_least: float | None = None
     at_most: float | None = None
+    higher_is_worse: bool = False
 
     @property
     def met(self) -> bool:
--- a/devtools/bamboo_bench/policy/scenarios/unequal_upstreams.py
+++ b/devtools/bamboo_bench/policy/scenarios/unequal_upstreams.py
@@ -62,7 +62,11 @@
             for window in (ALIKE, BY_KIND)
             for measure in (
                 Measure(f"goodput_{window.name}", succeeded_share(run.ledger.arrived_in(window))),
-                Measure(f"p99_s_{window.name}", latency_at(run.ledger.arrived_in(window), 0.99)),
+                Measure(
+                    f"p99_s_{window.name}",
+                    latency_at(run.ledger.arrived_in(window), 0.99),
+                    higher_is_worse=True,
+                ),
             )
         ]
 
