--- a/bamboojunction/core/once/home.py
+++ b/bamboojunction/core/once/home.py
@@ -245,8 +245,3 @@
     def _hold(self, record: KeyRecord, size: int) -> None:
         self._bytes_held += size - record.bytes_held
         record.bytes_held = size
-
-
-def key_required(home_id: HomeId) -> NotRun:
-    """Refuse a call of an at-most-once kind that carries no key."""
-    return NotRun(NotRunReason.KEY_REQUIRED)
--- a/bamboojunction/nodes/links.py
+++ b/bamboojunction/nodes/links.py
@@ -78,15 +78,6 @@
             link.abandon()
             del self._by_address[address]
 
-    def is_open(self, address: str) -> bool:
-        """Return whether a link to the address is open."""
-        link = self._by_address.get(address)
-        return link is not None and link.is_open
-
-    def open_addresses(self) -> list[str]:
-        """Return the addresses of the open links."""
-        return [address for address, link in self._by_address.items() if link.is_open]
-
     async def close_idle(self) -> None:
         """Close the links that nobody used for the idle time, until cancelled."""
         while True:
