--- a/bamboojunction/callers/server.py
+++ b/bamboojunction/callers/server.py
@@ -22,16 +22,15 @@
         yield
 
 
-class CallerServer:
-    """Own the listening socket of the caller face."""
+class HttpServer:
+    """Serve an application on listening sockets."""
 
-    __slots__ = ("_server", "_socket", "_task")
+    __slots__ = ("_server", "_sockets", "_task")
 
-    def __init__(self, app, host: str, port: int, settings: CallerSettings):
-        self._socket = socket.create_server((host, port), backlog=LISTEN_BACKLOG, reuse_port=False)
+    def __init__(self, app, sockets: list[socket.socket], **options):
+        self._sockets = sockets
         config = uvicorn.Config(
             app,
-            http=bounded_protocol(settings),
             ws="none",
             loop="none",
             lifespan="off",
@@ -41,15 +40,15 @@
             server_header=False,
             date_header=False,
             proxy_headers=False,
-            limit_concurrency=settings.connections_max,
             timeout_graceful_shutdown=GRACEFUL_SECONDS,
+            **options,
         )
         self._server = _QuietServer(config)
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
         """Start serving."""
-        self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
+        self._task = asyncio.create_task(self._server.serve(sockets=self._sockets))
 
     async def close(self, waits: bool = True) -> None:
         """Let the answers that are on their way leave, then close.
@@ -61,3 +60,22 @@
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+
+
+class CallerServer(HttpServer):
+    """Own the listening socket of the caller face."""
+
+    __slots__ = ()
+
+    def __init__(self, app, host: str, port: int, settings: CallerSettings):
+        super().__init__(
+            app,
+            [listen(host, port)],
+            http=bounded_protocol(settings),
+            limit_concurrency=settings.connections_max,
+        )
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Return a socket that listens on an address."""
+    return socket.create_server((host, port), backlog=LISTEN_BACKLOG, reuse_port=False)
--- a/bamboojunction/conf/settings.py
+++ b/bamboojunction/conf/settings.py
@@ -118,6 +118,12 @@
         unit="seconds",
         default=1.0,
     )
+    open_timeout_seconds: float = setting(
+        "Time within which a link is open, or the instance counts as unreachable.",
+        Decimal(0.05, 60),
+        unit="seconds",
+        default=1.0,
+    )
     frame_max_bytes: int = setting(
         "Largest message on a link.",
         Integer(1_024, 100_000_000),
--- a/bamboojunction/core/calls.py
+++ b/bamboojunction/core/calls.py
@@ -10,7 +10,8 @@
     ``deadline`` is in seconds on the local monotonic clock. ``allowance`` counts the retries that
     this call and everything below it may still spend. ``key`` is the text of an action key, or
     empty; ``attempt`` numbers the attempts of a keyed call and is set by its home, as is ``gate``,
-    the only gate incarnation that may run the attempt.
+    the only gate incarnation that may run the attempt. ``caller`` is the service beside the node
+    where the call entered.
     """
 
     action: str
@@ -27,3 +28,4 @@
     body: bytes = b""
     traceparent: str = ""
     gate: str = ""
+    caller: str = ""
--- a/bamboojunction/core/outcomes.py
+++ b/bamboojunction/core/outcomes.py
@@ -23,6 +23,8 @@
     TOO_LARGE = "too-large"
     SETTLED = "settled-not-run"
     FULL = "full"
+    UPSTREAM_REFUSED = "upstream-refused"
+    NO_CONFIGURATION = "no-configuration"
 
 
 class UnknownReason(StrEnum):
--- /dev/null
+++ b/bamboojunction/management/commands/mesh.py
@@ -0,0 +1,56 @@
+"""The program bamboo-mesh: the node on the users' platform."""
+
+import os
+
+# libuv may use io_uring, which the platform rules out; it reads this before uvloop is imported.
+os.environ["UV_USE_IO_URING"] = "0"
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import uvloop
+
+from bamboojunction.mesh.process import MeshNode
+from bamboojunction.node.collection import tune_collection
+from bamboojunction.platform.machine import FILE_VARIABLE, MachineSettings, read_machine
+
+EXIT_BAD_SETTINGS = 2
+
+
+def load_machine() -> MachineSettings:
+    """Read the settings file that the platform names; exit with a message if it is wrong."""
+    path = os.environ.get(FILE_VARIABLE, "")
+    try:
+        text = Path(path).read_bytes()
+    except OSError as error:
+        sys.exit(f"settings file {path!r} cannot be read: {error}")
+    loaded = read_machine(text)
+    if loaded.is_err():
+        sys.stderr.write(f"{path}: {loaded.err()}\n")
+        sys.exit(EXIT_BAD_SETTINGS)
+    return loaded.ok()
+
+
+async def run_node(settings: MachineSettings) -> None:
+    """Run a node until SIGTERM or SIGINT asks for a graceful stop."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    node = MeshNode(settings)
+    loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(load_machine()))
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
+    await node.start()
+    tune_collection()
+    await stop.wait()
+    await node.stop()
+
+
+def main() -> None:
+    """Run the node of the machine that the settings file describes."""
+    uvloop.run(run_node(load_machine()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bamboojunction/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""The node on the users' platform: one process beside each upstream."""
--- /dev/null
+++ b/bamboojunction/mesh/face.py
@@ -0,0 +1,198 @@
+"""The HTTP face of a node on the platform: callers, readiness, the upstream's reports, metrics.
+
+The callers' requests are served without a web framework, because a request's raw path, its headers
+and its answer have to pass unchanged.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from urllib.parse import unquote
+
+from result import Err, Ok
+
+from bamboojunction.core.calls import Call
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
+from bamboojunction.core.routes import Route, RouteHolder
+from bamboojunction.mesh.forwarding import Forwarder
+from bamboojunction.mesh.neighbour import Neighbour
+from bamboojunction.platform import heartbeats, requests
+from bamboojunction.platform.requests import Answer, CallerHeaders
+from bamboojunction.telemetry.events import EventLog
+
+NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5
+METRICS_PATH = "/metrics"
+
+
+class CallerWentAwayError(Exception):
+    """Report a caller that closed its connection before its request was whole."""
+
+
+class Face:
+    """Answer every request to a node, by the port that it came to."""
+
+    def __init__(
+        self,
+        service: str,
+        holder: RouteHolder,
+        forwarder: Forwarder,
+        neighbour: Neighbour,
+        events: EventLog,
+        ports: "FacePorts",
+    ):
+        self._service = service
+        self._holder = holder
+        self._forwarder = forwarder
+        self._neighbour = neighbour
+        self._events = events
+        self._ports = ports
+        self._loop = asyncio.get_running_loop()
+        self.in_flight = 0
+        self.is_stopping = False
+        self.metrics: Callable[[], bytes] = lambda: b""
+
+    async def __call__(self, scope: dict, receive, send) -> None:
+        """Handle one request."""
+        port = scope["server"][1]
+        if port == self._ports.callers:
+            await self._serve_caller(scope, receive, send)
+        elif port == self._ports.ready:
+            await _respond(send, self._describe(scope["path"]))
+        else:
+            await _respond(send, await self._take_report(scope, receive))
+
+    def _describe(self, path: str) -> Answer:
+        if path == METRICS_PATH:
+            return Answer(200, (("content-type", "text/plain; version=0.0.4"),), self.metrics())
+        if path != requests.READY_PATH:
+            return Answer(404, (), b"")
+        is_ready = not self.is_stopping and self._holder.routes.version > 0
+        return Answer(200 if is_ready else 503, (), b"")
+
+    async def _take_report(self, scope: dict, receive) -> Answer:
+        try:
+            body = await _read_body(receive, self._holder.routes.body_max_bytes)
+        except CallerWentAwayError:
+            return Answer(400, (), b"")
+        match heartbeats.read_report(scope["method"], unquote(scope["path"]), body or b""):
+            case Ok(report):
+                change = self._neighbour.take(report)
+                if change.name != "NONE":
+                    latest = self._neighbour.latest
+                    self._events.upstream_changed(
+                        change.name.lower(),
+                        report.instance_id,
+                        slots=latest.slots if latest else 0,
+                        cold=latest.cold_seconds if latest else 0.0,
+                    )
+                return Answer(200, (("content-type", "application/json"),), b"{}")
+            case Err(problem):
+                self._events.report_refused(scope["method"], scope["path"], problem)
+                return Answer(400, (), b"")
+
+    async def _serve_caller(self, scope: dict, receive, send) -> None:
+        self.in_flight += 1
+        started = self._loop.time()
+        headers = requests.read_caller_headers(scope["headers"])
+        try:
+            answer = await self._answer(scope, headers, receive, started)
+        except (CallerWentAwayError, asyncio.CancelledError):
+            self._events.cancelled(headers.request_id, self._loop.time() - started)
+            return
+        finally:
+            self.in_flight -= 1
+        self._events.answered(
+            headers.request_id,
+            headers.host,
+            scope["path"],
+            answer.status,
+            self._loop.time() - started,
+            self._holder.routes.version,
+        )
+        await _respond(send, answer, self.is_stopping)
+
+    async def _answer(self, scope: dict, headers: CallerHeaders, receive, started: float) -> Answer:
+        routes = self._holder.routes
+        body = await _read_body(receive, routes.body_max_bytes)
+        if body is None:
+            return requests.error_answer(413, "too-large", headers.request_id)
+        routes = self._holder.routes
+        if not routes.version:
+            refusal = NotRun(NotRunReason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_AFTER_SECONDS)
+            return requests.answer_of(refusal, headers.request_id)
+        route = routes.find(headers.host, scope["path"])
+        if route is None:
+            return requests.error_answer(404, "no-route", headers.request_id)
+        call = self._call(scope, headers, route, body, started)
+        if self._ports.is_client(scope["client"]):
+            self._forwarder.budget(call.service).requested(started)
+        outcome = await self._watched(self._forwarder.route(call, route.row), receive)
+        return requests.answer_of(outcome, headers.request_id)
+
+    def _call(
+        self, scope: dict, headers: CallerHeaders, route: Route, body: bytes, started: float
+    ) -> Call:
+        query = scope["query_string"]
+        path = scope["raw_path"] + (b"?" + query if query else b"")
+        waits = route.timeout if headers.deadline is None else min(route.timeout, headers.deadline)
+        return Call(
+            action=headers.request_id,
+            kind=route.row.kind,
+            service=self._holder.pick(route),
+            deadline=started + waits,
+            method=scope["method"],
+            path=path.decode("latin-1"),
+            headers=headers.forwarded,
+            body=body,
+            caller=self._service,
+        )
+
+    async def _watched(self, outcome: Awaitable[Outcome], receive) -> Outcome:
+        """Wait for an outcome, and cancel the work when the caller goes away."""
+        task = asyncio.ensure_future(outcome)
+        watcher = asyncio.ensure_future(receive())
+        try:
+            await asyncio.wait((task, watcher), return_when=asyncio.FIRST_COMPLETED)
+            if not task.done():
+                raise CallerWentAwayError
+            return task.result()
+        finally:
+            task.cancel()
+            watcher.cancel()
+
+
+class FacePorts:
+    """Name the ports of a node's face and the address of its machine."""
+
+    __slots__ = ("_host", "callers", "ready")
+
+    def __init__(self, host: str, callers: int, ready: int):
+        self._host = host
+        self.callers = callers
+        self.ready = ready
+
+    def is_client(self, peer: tuple[str, int] | None) -> bool:
+        """Return whether a request comes from a client, not from the upstream of this machine."""
+        return peer is None or peer[0] != self._host
+
+
+async def _read_body(receive, body_max_bytes: int) -> bytes | None:
+    """Return the whole body, or None when it is too large."""
+    body = b""
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            raise CallerWentAwayError
+        body += message.get("body", b"")
+        if len(body) > body_max_bytes:
+            return None
+        if not message.get("more_body", False):
+            return body
+
+
+async def _respond(send, answer: Answer, closes: bool = False) -> None:
+    headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in answer.headers]
+    headers.append((b"content-length", str(len(answer.body)).encode()))
+    if closes:
+        headers.append((b"connection", b"close"))
+    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+    await send({"type": "http.response.body", "body": answer.body})
--- /dev/null
+++ b/bamboojunction/mesh/forwarding.py
@@ -0,0 +1,61 @@
+"""Forwarding of requests to gates, with the moves and repeats that the rules allow."""
+
+import asyncio
+
+from bamboojunction.core.calls import Call
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
+from bamboojunction.core.retries.fleet_budget import FleetRepeatBudget, RepeatBounds
+from bamboojunction.core.retries.forwarding import FREE_REASONS, Progress, Step, next_step
+from bamboojunction.core.retries.truth import outcome_of_all
+from bamboojunction.core.table.rows import Row
+from bamboojunction.node.calling import AttemptProgress, CallRouter, KeyedSends
+from bamboojunction.telemetry.events import EventLog
+
+
+class Forwarder(CallRouter):
+    """Route requests to gates until one answers or no other may be asked."""
+
+    __slots__ = ("_bounds", "_budget_by_service", "_events", "nodes")
+
+    def bind(self, bounds: RepeatBounds, events: EventLog) -> None:
+        """Name the fleet's bound of repeats and where decisions are logged."""
+        self._bounds = bounds
+        self._events = events
+        self._budget_by_service: dict[str, FleetRepeatBudget] = {}
+        self.nodes = 1
+
+    def budget(self, service: str) -> FleetRepeatBudget:
+        """Return this node's budget of repeats at a service."""
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = FleetRepeatBudget(self._bounds, self._loop.time())
+            self._budget_by_service[service] = budget
+        budget.nodes = self.nodes
+        return budget
+
+    async def route(self, call: Call, row: Row, sends: KeyedSends | None = None) -> Outcome:
+        """Attempt a request until it is settled or may not be sent again."""
+        attempts = AttemptProgress(sends)
+        progress = Progress()
+        budget = self.budget(call.service)
+        while True:
+            started = self._loop.time()
+            outcome, instance = await self._attempt(call, row, attempts)
+            now = self._loop.time()
+            if isinstance(outcome, NotRun) and outcome.reason in FREE_REASONS:
+                progress.moves += 1
+            elif instance is not None:
+                progress.arrivals += 1
+            step = next_step(row, outcome, progress, budget, call.deadline, now)
+            self._events.attempt_ended(call, outcome, instance, step, now - started, budget.left())
+            if step is Step.ANSWER:
+                return outcome_of_all(attempts.earlier, outcome)
+            attempts.note(call, outcome, instance)
+            attempts.suspect = None
+            if instance is None or _is_unsent(outcome):
+                # Lets the loop learn what other requests find before the next choice.
+                await asyncio.sleep(0)
+
+
+def _is_unsent(outcome: Outcome) -> bool:
+    return isinstance(outcome, NotRun) and outcome.reason is NotRunReason.UNREACHABLE
--- /dev/null
+++ b/bamboojunction/mesh/gate.py
@@ -0,0 +1,121 @@
+"""The gate of the upstream beside a node on the users' platform."""
+
+import asyncio
+import time
+
+from bamboojunction.core.admission.gate import Admission, ServiceEnd
+from bamboojunction.core.calls import Call
+from bamboojunction.core.outcomes import (
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Ran,
+    Unknown,
+    UnknownReason,
+)
+from bamboojunction.core.routes import RouteHolder
+from bamboojunction.core.table.rows import Effect
+from bamboojunction.mesh.neighbour import Neighbour
+from bamboojunction.node.contexts import RunningCall
+from bamboojunction.node.serving import GateService
+from bamboojunction.nodes.replies import GateReply
+from bamboojunction.platform import requests
+from bamboojunction.telemetry.events import EventLog
+from bamboojunction.upstreams.client import UpstreamReply
+from bamboojunction.upstreams.exchange import Failure, RawAnswer
+from bamboojunction.upstreams.pool import UpstreamPool
+
+UNREACHABLE_RETRY_AFTER_SECONDS = 0.1
+
+
+class UpstreamSender:
+    """Send admitted calls to the upstream beside this node."""
+
+    __slots__ = ("_holder", "_pool", "on_misdirected")
+
+    def __init__(self, pool: UpstreamPool, holder: RouteHolder):
+        self._pool = pool
+        self._holder = holder
+        self.on_misdirected = lambda: None
+
+    async def send(self, call: Call, headers: list[tuple[str, str]]) -> UpstreamReply:
+        """Send a call once and read the whole answer, at most until the call's deadline."""
+        # The event loop's clock may have a resolution of only a millisecond.
+        started = time.monotonic()
+        is_repeatable = self._holder.row(call.kind).effect is Effect.IDEMPOTENT
+        request = render_request(call, headers)
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                answer = await self._pool.exchange(request, is_repeatable)
+        except TimeoutError:
+            outcome, end = Unknown(UnknownReason.DEADLINE), ServiceEnd.FAILED
+        else:
+            outcome, end = self._interpret(call, answer)
+        return UpstreamReply(outcome, end, time.monotonic() - started)
+
+    def _interpret(self, call: Call, answer: RawAnswer | Failure) -> tuple[Outcome, ServiceEnd]:
+        match answer:
+            case Failure.NOT_SENT:
+                refusal = NotRun(NotRunReason.UNREACHABLE, UNREACHABLE_RETRY_AFTER_SECONDS)
+                return refusal, ServiceEnd.FAILED
+            case Failure.CLOSED:
+                return Unknown(UnknownReason.LOST_UPSTREAM), ServiceEnd.FAILED
+            case Failure():
+                return Unknown(UnknownReason.TRUNCATED), ServiceEnd.FAILED
+        if requests.is_refusal(answer.status, answer.headers):
+            if requests.is_misdirected(answer.status):
+                self.on_misdirected()
+            return NotRun(NotRunReason.UPSTREAM_REFUSED), ServiceEnd.OVERLOADED
+        if requests.request_id_of(answer.headers) != call.action:
+            # The answer belongs to another request.
+            return Unknown(UnknownReason.TRUNCATED), ServiceEnd.FAILED
+        end = ServiceEnd.FAILED if answer.status >= 500 else ServiceEnd.SUCCEEDED
+        headers = requests.end_to_end_headers(answer.headers)
+        return Ran(answer.status, headers, answer.body), end
+
+
+def render_request(call: Call, headers: list[tuple[str, str]]) -> bytes:
+    """Return the bytes of a request whose body has a length."""
+    lines = [f"{call.method} {call.path} HTTP/1.1"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    if call.body or call.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"content-length: {len(call.body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + call.body
+
+
+class MeshGate(GateService):
+    """Serve calls at the upstream that the neighbour's heartbeats describe."""
+
+    __slots__ = ("_neighbour", "_service", "events")
+
+    def bind(self, neighbour: Neighbour, service: str, events: EventLog) -> None:
+        """Name the upstream's state, the service that calls must name and the log."""
+        self._neighbour = neighbour
+        self._service = service
+        self.events = events
+
+    def resize(self, slots: int) -> None:
+        """Take the slots of a new upstream; calls of the old one have no slots any more."""
+        self._carry_out(self._admission.drain(self._loop.time()))
+        self._admission = Admission(slots)
+
+    async def _serve(self, call: Call) -> GateReply:
+        started = self._loop.time()
+        reply = await self._serve_or_refuse(call)
+        self.events.served(call, reply, self._loop.time() - started)
+        return reply
+
+    async def _serve_or_refuse(self, call: Call) -> GateReply:
+        if call.service != self._service or not self._neighbour.is_known:
+            return self._refused(call, NotRun(NotRunReason.UNREACHABLE))
+        if not self._neighbour.is_serving:
+            return self._refused(call, NotRun(NotRunReason.DRAINING))
+        return await self._serve_admitted(call, hash(call.action), False)
+
+    def _upstream_headers(self, running: RunningCall) -> list[tuple[str, str]]:
+        call = running.call
+        remaining = call.deadline - self._loop.time()
+        return requests.upstream_headers(
+            call.headers, remaining, self._neighbour.instance_id, call.caller
+        )
--- /dev/null
+++ b/bamboojunction/mesh/process.py
@@ -0,0 +1,228 @@
+"""The node process on the users' platform: builds its parts, starts them and stops them."""
+
+import asyncio
+import random
+import secrets
+import sys
+import time
+
+from bamboojunction.callers.server import HttpServer, listen
+from bamboojunction.conf.settings import LinkSettings
+from bamboojunction.core.admission.gate import Admission
+from bamboojunction.core.clock import TICK_SECONDS, PauseDetector
+from bamboojunction.core.membership.view import Announcement, InstanceState, MembershipView
+from bamboojunction.core.poison.guard import PoisonGuard
+from bamboojunction.core.retries.fleet_budget import RepeatBounds
+from bamboojunction.core.routes import RouteHolder
+from bamboojunction.core.routing.router import Router
+from bamboojunction.mesh.face import Face, FacePorts
+from bamboojunction.mesh.forwarding import Forwarder
+from bamboojunction.mesh.gate import MeshGate, UpstreamSender
+from bamboojunction.mesh.neighbour import Change, Neighbour
+from bamboojunction.mesh.registry import Registry
+from bamboojunction.node.contexts import RunningCalls
+from bamboojunction.nodes.convert import request_to_call
+from bamboojunction.nodes.handshake import Identity
+from bamboojunction.nodes.links import LinkPool
+from bamboojunction.nodes.messages import CallRequest, Seal, SealAnswer
+from bamboojunction.nodes.replies import GateReply
+from bamboojunction.nodes.server import LinkServer
+from bamboojunction.platform.http import HttpPlatformClient
+from bamboojunction.platform.machine import MachineSettings
+from bamboojunction.telemetry.events import EventLog
+from bamboojunction.telemetry.output import LineOutput
+from bamboojunction.upstreams.pool import UpstreamPool
+
+INCARNATION_BYTES = 6
+STORE_TIMEOUT_SECONDS = 1.5
+# Clients reuse connections that were idle for up to four fifths of the configured idle time.
+KEEP_ALIVE_SECONDS = 60
+# Slots until the first heartbeat tells them.
+SLOTS_UNKNOWN = 1
+CONNECTIONS_UNKNOWN = 64
+# How long callers still send requests after readiness ended: two checks a second apart.
+CALLERS_LEAVE_SECONDS = 2.6
+# What is left of the stop's time for closing.
+CLOSE_SECONDS = 0.8
+LINK_SETTINGS = LinkSettings(
+    secret="", heartbeat_seconds=0.4, open_timeout_seconds=0.4, idle_close_seconds=60.0
+)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an ``ip:port`` address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class MeshNode:
+    """Own the parts of one node; create it inside a running event loop."""
+
+    def __init__(self, settings: MachineSettings):
+        self.settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.events = EventLog(
+            settings.instance, LineOutput(sys.stdout.fileno(), self._loop.time())
+        )
+        self.holder = RouteHolder()
+        self.view = MembershipView()
+        self.router = Router.from_config(settings)
+        self._pauses = PauseDetector(self._loop.time())
+        host, _ = split_address(settings.link_address)
+        identity = Identity(settings.instance, self._incarnation, b"")
+        self.links = LinkPool(identity, LINK_SETTINGS, host)
+        self.pool = UpstreamPool(settings.upstream_address, CONNECTIONS_UNKNOWN)
+        self.neighbour = Neighbour(settings.service)
+        self.neighbour.on_change = self._upstream_changed
+        sender = UpstreamSender(self.pool, self.holder)
+        sender.on_misdirected = self.neighbour.misdirected
+        self.gate = MeshGate(
+            Admission(SLOTS_UNKNOWN), sender, self.holder, PoisonGuard(), RunningCalls()
+        )
+        self.gate.bind(self.neighbour, settings.service, self.events)
+        self.forwarder = Forwarder(
+            settings.instance, self.router, self.view, self.links, self.gate, self.gate.edge
+        )
+        bounds = RepeatBounds(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window)
+        self.forwarder.bind(bounds, self.events)
+        client = HttpPlatformClient([settings.store_address], STORE_TIMEOUT_SECONDS)
+        self.registry = Registry(client, self.holder, random.Random(), self.events)
+        self.registry.own_name = settings.instance
+        self.registry.on_instances = self._instances_changed
+        self.link_server = LinkServer(
+            identity, LINK_SETTINGS, self._serve_request, _refuse_seal, self.links.handlers
+        )
+        ports = FacePorts(
+            host,
+            split_address(settings.caller_address)[1],
+            split_address(settings.ready_address)[1],
+        )
+        self.face = Face(
+            settings.service, self.holder, self.forwarder, self.neighbour, self.events, ports
+        )
+        addresses = (
+            settings.caller_address,
+            settings.ready_address,
+            settings.heartbeat_address,
+        )
+        sockets = [listen(*split_address(address)) for address in addresses]
+        self.server = HttpServer(
+            self.face, sockets, http="httptools", timeout_keep_alive=KEEP_ALIVE_SECONDS
+        )
+        self._sequence = 0
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Listen, and follow the store."""
+        await self.link_server.start(*split_address(self.settings.link_address))
+        self.server.start()
+        self.registry.start()
+        self._tasks = [
+            asyncio.create_task(self.links.close_idle()),
+            asyncio.create_task(self._watch_pauses()),
+            asyncio.create_task(self.events.report_left_out()),
+        ]
+        self.events.started(service=self.settings.service, data_centre=self.settings.data_centre)
+
+    async def stop(self) -> None:
+        """Leave: no new callers, no new calls at the gate, finish what runs, then close."""
+        began = self._loop.time()
+        end = began + self.settings.stop_seconds - CLOSE_SECONDS
+        self.events.stopping(in_flight=self.face.in_flight)
+        self.face.is_stopping = True
+        self.neighbour.is_serving = False
+        self.gate.drain()
+        self.registry.announce(None)
+        while self._loop.time() < end:
+            is_left = self._loop.time() - began >= CALLERS_LEAVE_SECONDS
+            if is_left and not self.face.in_flight and not self.gate.report().in_flight:
+                break
+            await asyncio.sleep(TICK_SECONDS)
+        cut = self.face.in_flight + self.gate.report().in_flight
+        await self.close()
+        self.events.stopped(cut=cut, seconds=self._loop.time() - began)
+
+    async def close(self) -> None:
+        """Close every socket and end every task."""
+        for task in self._tasks:
+            task.cancel()
+        try:
+            async with asyncio.timeout(CLOSE_SECONDS / 2):
+                await self.server.close()
+        except TimeoutError:
+            pass
+        await self.registry.close()
+        await self.link_server.close()
+        await self.links.close()
+        self.pool.close()
+
+    def reload(self, settings: MachineSettings) -> None:
+        """Take the settings that may change while the node runs."""
+        self.settings = settings
+        bounds = RepeatBounds(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window)
+        self.forwarder.bind(bounds, self.events)
+        self.events.reloaded(stop_seconds=settings.stop_seconds)
+
+    def _upstream_changed(self, change: Change) -> None:
+        latest = self.neighbour.latest
+        if change is Change.STARTED:
+            self.pool.close()
+            self.gate.resize(latest.slots)
+        elif change in (Change.DRAINING, Change.GONE):
+            self.gate.drain()
+        self.registry.announce(self._announcement())
+
+    def _announcement(self) -> Announcement | None:
+        """Return what other nodes may know of the upstream, None when it takes no calls."""
+        if not self.neighbour.is_serving or self.face.is_stopping:
+            return None
+        settings = self.settings
+        return Announcement(
+            instance=settings.instance,
+            incarnation=f"{self._incarnation}/{self.neighbour.instance_id}",
+            service=settings.service,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            address=settings.link_address,
+            started_at=float(self.neighbour.latest.started_at),
+            state=InstanceState.SERVING,
+        )
+
+    def _instances_changed(self, by_instance: dict[str, Announcement]) -> None:
+        known = self.view.by_instance
+        left = [name for name in known if name not in by_instance]
+        joined = [name for name, entry in by_instance.items() if known.get(name) != entry]
+        if not left and not joined:
+            return
+        for name in left:
+            self.view.forget(name)
+        for name in joined:
+            if name in known:
+                self.view.forget(name)
+            self.view.merge(by_instance[name])
+        self.forwarder.nodes = max(1, len(by_instance))
+        for service in self.view.take_changed_services():
+            self.router.update(service, self.view.serving(service))
+        self.events.instances_changed(joined, left, len(by_instance))
+
+    async def _serve_request(self, request: CallRequest) -> GateReply:
+        now = self._loop.time()
+        call = request_to_call(request, now - self._pauses.age_max(now))
+        return await self.gate.serve(call)
+
+    async def _watch_pauses(self) -> None:
+        """Compare the steady clock's steps with boot time, which also counts suspended time."""
+        booted = time.clock_gettime(time.CLOCK_BOOTTIME)
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            pause = self._pauses.tick(self._loop.time())
+            now = time.clock_gettime(time.CLOCK_BOOTTIME)
+            pause = max(pause, now - booted - 2 * TICK_SECONDS)
+            booted = now
+            if pause > 0.25:
+                self.events.paused(pause)
+
+
+def _refuse_seal(seal: Seal) -> SealAnswer:
+    return SealAnswer(seal.request_id, False)
--- /dev/null
+++ b/bamboojunction/mesh/registry.py
@@ -0,0 +1,204 @@
+"""The tasks that keep a node and the platform's store informed of each other."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+from result import Err, Ok
+
+from bamboojunction.core.membership.view import COLLECTION, Announcement, InstanceState
+from bamboojunction.core.routes import RouteHolder
+from bamboojunction.platform import configuration
+from bamboojunction.platform.client import (
+    ObjectList,
+    PlatformClient,
+    PlatformErrorKind,
+    PlatformObject,
+    WatchBatch,
+)
+from bamboojunction.telemetry.events import EventLog
+
+# One watch waits this long; a silent connection shows earlier, by keep-alive probes.
+WATCH_SECONDS = 15.0
+RETRY_SECONDS_MIN = 0.15
+RETRY_SECONDS_MAX = 0.6
+# Changes that come close together are read in one call.
+GATHER_SECONDS = 0.03
+
+
+class Follower:
+    """Follow one collection: read it whole, then watch what changes."""
+
+    def __init__(
+        self,
+        collection: str,
+        client: PlatformClient,
+        generator: random.Random,
+        events: EventLog,
+        take: Callable[[list[PlatformObject], list[str], bool], None],
+    ):
+        self._collection = collection
+        self._client = client
+        self._random = generator
+        self._events = events
+        self._take = take
+        self._revision: int | None = None
+        self._is_reached: bool | None = None
+
+    async def run(self) -> None:
+        """Follow until cancelled; after a failure wait a short random time."""
+        while True:
+            if self._revision is None:
+                result = await self._client.list(self._collection)
+            else:
+                result = await self._client.watch(self._collection, self._revision, WATCH_SECONDS)
+            match result:
+                case Ok(ObjectList(revision, objects)):
+                    self._revision = revision
+                    self._note(True)
+                    self._take(objects, [], True)
+                case Ok(WatchBatch(revision, changed, deleted)):
+                    self._revision = max(self._revision, revision)
+                    self._note(True)
+                    self._take(changed, deleted, False)
+                    await asyncio.sleep(GATHER_SECONDS)
+                case Err(error) if error.kind is PlatformErrorKind.COMPACTED:
+                    self._revision = None
+                case Err(error):
+                    self._note(False, f"{error.kind}: {error.detail}")
+                    pause = self._random.uniform(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX)
+                    await asyncio.sleep(pause)
+
+    def _note(self, is_reached: bool, detail: str = "") -> None:
+        if is_reached is not self._is_reached:
+            self._is_reached = is_reached
+            self._events.store_reached(self._collection, is_reached, detail)
+
+
+class Registry:
+    """Announce the upstream beside this node, and follow configuration and announcements."""
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        holder: RouteHolder,
+        generator: random.Random,
+        events: EventLog,
+    ):
+        self._client = client
+        self._holder = holder
+        self._random = generator
+        self._events = events
+        self._loop = asyncio.get_running_loop()
+        self._wanted: Announcement | None = None
+        self._written_version = 0
+        self._written: Announcement | None = None
+        self._own_changed = asyncio.Event()
+        self._by_instance: dict[str, Announcement] = {}
+        self.on_instances: Callable[[dict[str, Announcement]], None] = lambda by_instance: None
+        self.own_name = ""
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Start the tasks."""
+        routes = Follower(
+            configuration.KIND, self._client, self._random, self._events, self._take_routes
+        )
+        instances = Follower(
+            COLLECTION, self._client, self._random, self._events, self._take_instances
+        )
+        coroutines = (routes.run(), instances.run(), self._announce())
+        self._tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+
+    async def close(self) -> None:
+        """End the tasks and close the connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._client.close()
+
+    def announce(self, announcement: Announcement | None) -> None:
+        """Set what the store should hold of this node; None removes it."""
+        self._wanted = announcement
+        self._own_changed.set()
+
+    async def _announce(self) -> None:
+        while True:
+            await self._own_changed.wait()
+            self._own_changed.clear()
+            while self._wanted != self._written:
+                if not await self._write():
+                    pause = self._random.uniform(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX)
+                    await asyncio.sleep(pause)
+
+    async def _write(self) -> bool:
+        """Make one call that brings the store closer to what is wanted."""
+        wanted = self._wanted
+        if wanted is None:
+            result = await self._client.delete(COLLECTION, self.own_name, self._written_version)
+            if result.is_ok() or result.err().kind is PlatformErrorKind.NOT_FOUND:
+                self._written, self._written_version = None, 0
+                return True
+        else:
+            value = msgspec.to_builtins(wanted)
+            result = await self._client.put(COLLECTION, self.own_name, value, self._written_version)
+            if result.is_ok():
+                self._written, self._written_version = wanted, result.ok().version
+                return True
+        error = result.err()
+        self._events.announce_failed(f"{error.kind}: {error.detail}")
+        if error.kind is PlatformErrorKind.CONFLICT:
+            return await self._read_own()
+        return False
+
+    async def _read_own(self) -> bool:
+        match await self._client.get(COLLECTION, self.own_name):
+            case Ok(found):
+                self._written_version = found.version
+                self._written = _read_announcement(found)
+                return True
+            case Err(error) if error.kind is PlatformErrorKind.NOT_FOUND:
+                self._written, self._written_version = None, 0
+                return True
+        return False
+
+    def _take_routes(self, objects: list[PlatformObject], deleted: list[str], whole: bool) -> None:
+        for item in objects:
+            if item.name != configuration.NAME:
+                continue
+            match configuration.read_routes(item.value):
+                case Ok(routes):
+                    if self._holder.offer(routes):
+                        self._events.configuration_in_force(routes.version)
+                case Err(problem):
+                    self._events.configuration_refused(item.version, problem)
+
+    def _take_instances(
+        self, objects: list[PlatformObject], deleted: list[str], whole: bool
+    ) -> None:
+        if whole:
+            self._by_instance.clear()
+        for name in deleted:
+            self._by_instance.pop(name, None)
+        for item in objects:
+            announcement = _read_announcement(item)
+            if announcement is None or announcement.instance != item.name:
+                self._events.announcement_refused(item.name)
+                continue
+            self._by_instance[item.name] = announcement
+            if item.name == self.own_name and item.version > self._written_version:
+                self._written, self._written_version = announcement, item.version
+        if self._written is not None and self.own_name not in self._by_instance:
+            self._written, self._written_version = None, 0
+        if self._wanted != self._written:
+            self._own_changed.set()
+        self.on_instances(dict(self._by_instance))
+
+
+def _read_announcement(item: PlatformObject) -> Announcement | None:
+    try:
+        found = msgspec.convert(item.value, Announcement)
+    except msgspec.ValidationError:
+        return None
+    return None if found.state is InstanceState.GONE else found
--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -44,7 +44,7 @@
 
 
 @dataclass(slots=True)
-class _Progress:
+class AttemptProgress:
     """Hold what the attempts of one call so far mean for the next."""
 
     sends: KeyedSends | None
@@ -85,7 +85,7 @@
 
     async def route(self, call: Call, row: Row, sends: KeyedSends | None = None) -> Outcome:
         """Attempt a call until it is settled or may not be tried again."""
-        progress = _Progress(sends)
+        progress = AttemptProgress(sends)
         policy = self._policy_for(call.service)
         while True:
             outcome, instance = await self._attempt(call, row, progress)
@@ -137,7 +137,7 @@
         return answer_to_reply(answer)
 
     async def _attempt(
-        self, call: Call, row: Row, progress: _Progress
+        self, call: Call, row: Row, progress: AttemptProgress
     ) -> tuple[Outcome, str | None]:
         now = self._loop.time()
         refusal = self._refusal_at_edge(call, row, now)
--- a/bamboojunction/nodes/convert.py
+++ b/bamboojunction/nodes/convert.py
@@ -44,6 +44,7 @@
         call.body,
         call.traceparent,
         call.gate,
+        call.caller,
     )
 
 
@@ -64,6 +65,7 @@
         body=request.body,
         traceparent=request.traceparent,
         gate=request.gate,
+        caller=request.caller,
     )
 
 
--- a/bamboojunction/nodes/links.py
+++ b/bamboojunction/nodes/links.py
@@ -12,7 +12,6 @@
 from bamboojunction.nodes.link import Handlers, Link, LinkFailure, MessageHandler
 from bamboojunction.nodes.messages import AnyMessage, CallAnswer, Hello, SealAnswer
 
-OPEN_TIMEOUT_SECONDS = 1.0
 # After a failed opening, requests to the address fail at once for this long.
 REOPEN_DELAY_SECONDS = 0.2
 
@@ -125,7 +124,7 @@
 
     async def _connect(self, address: str) -> Link | None:
         try:
-            async with asyncio.timeout(OPEN_TIMEOUT_SECONDS):
+            async with asyncio.timeout(self._settings.open_timeout_seconds):
                 link = await self._shake_hands(address)
         except (WebSocketException, OSError, TimeoutError):
             link = None
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -59,6 +59,7 @@
     body: bytes
     traceparent: str
     gate: str = ""
+    caller: str = ""
 
 
 class Load(Message):
--- a/bamboojunction/platform/__init__.py
+++ b/bamboojunction/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The client of the platform's object API."""
+"""The adapter of the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/bamboojunction/platform/configuration.py
@@ -0,0 +1,87 @@
+"""The operator's configuration in the store, decoded into routes."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from bamboojunction.core.routes import Part, Route, Routes
+from bamboojunction.core.table.rows import Effect, Row
+
+KIND = "config"
+NAME = "main"
+EFFECT_BY_KIND = {"idempotent": Effect.IDEMPOTENT, "non_idempotent": Effect.ONCE}
+# The shares of contended slots that ranks keep halve from each rank to the next.
+WEIGHT_OF_RANK_0 = 64
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Path(msgspec.Struct):
+    name: str
+    path_prefix: str
+    kind: str
+    timeout_ms: int
+    goal_ms: int
+    # How many backends one attempt of a client may be sent to, the first included.
+    attempts: int = 1
+    priority: int = 0
+    service: str = ""
+    split: list[_Part] = msgspec.field(default_factory=list)
+
+
+class _Host(msgspec.Struct):
+    host: str
+    paths: list[_Path]
+
+
+class _Service(msgspec.Struct):
+    name: str
+    # Connections that one backend accepts from all callers together.
+    max_conns: int = 64
+
+
+class _Limits(msgspec.Struct):
+    max_body_bytes: int = 1_000_000
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    vhosts: list[_Host]
+    services: list[_Service] = msgspec.field(default_factory=list)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def read_routes(value: dict) -> Result[Routes, str]:
+    """Decode a configuration, or say what is wrong with it."""
+    try:
+        found = msgspec.convert(value, _Configuration)
+        routes = {
+            host.host: tuple(_route(host.host, path) for path in host.paths)
+            for host in found.vhosts
+        }
+    except (msgspec.ValidationError, KeyError) as error:
+        return Err(f"configuration cannot be read: {error}")
+    connections = {service.name: service.max_conns for service in found.services}
+    return Ok(Routes.build(found.version, routes, connections, found.limits.max_body_bytes))
+
+
+def _route(host: str, path: _Path) -> Route:
+    parts = [(part.service, part.weight) for part in path.split] or [(path.service, 1.0)]
+    row = Row(
+        kind=path.name,
+        rank=path.priority,
+        weight=max(1, WEIGHT_OF_RANK_0 >> path.priority),
+        effect=EFFECT_BY_KIND[path.kind],
+        deadline_ms=path.timeout_ms,
+        retries=max(0, path.attempts - 1),
+    )
+    return Route(
+        host=host,
+        prefix=path.path_prefix,
+        row=row,
+        timeout=path.timeout_ms / 1000,
+        aim=path.goal_ms / 1000,
+        parts=tuple(Part(service, weight) for service, weight in parts),
+    )
--- /dev/null
+++ b/bamboojunction/platform/heartbeats.py
@@ -0,0 +1,80 @@
+"""The heartbeats of the upstream beside a node, decoded from its calls."""
+
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+import msgspec
+from result import Err, Ok, Result
+
+PREFIX = "/instances/"
+
+
+class _Beat(msgspec.Struct):
+    service: str
+    address: str
+    slots: int
+    state: str
+    sequence: int
+    # How much longer the backend is slow after its start.
+    cold_left_ms: float = 0.0
+    # When the backend started, in Unix milliseconds.
+    born: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Heartbeat:
+    """Describe an upstream as it reports itself.
+
+    ``started_at`` is in Unix milliseconds and orders incarnations; ``sequence`` orders the
+    heartbeats of one. ``cold_seconds`` says how much longer the upstream is slow.
+    """
+
+    instance_id: str
+    service: str
+    address: str
+    slots: int
+    is_draining: bool
+    started_at: int
+    sequence: int
+    cold_seconds: float
+
+
+@dataclass(slots=True, frozen=True)
+class Departure:
+    """Say that an upstream stops for good."""
+
+    instance_id: str
+
+
+def read_report(method: str, path: str, body: bytes) -> Result[Heartbeat | Departure, str]:
+    """Decode a call of an upstream, or say why it names none."""
+    if not path.startswith(PREFIX) or len(path) == len(PREFIX):
+        return Err("unknown path")
+    instance_id = unquote(path[len(PREFIX) :])
+    match method:
+        case "DELETE":
+            return Ok(Departure(instance_id))
+        case "PUT":
+            return _read_heartbeat(instance_id, body)
+    return Err("unknown method")
+
+
+def _read_heartbeat(instance_id: str, body: bytes) -> Result[Heartbeat, str]:
+    try:
+        beat = msgspec.json.decode(body, type=_Beat)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Err(f"heartbeat cannot be read: {error}")
+    if beat.state not in ("ready", "draining") or beat.slots < 1:
+        return Err(f"heartbeat has state {beat.state!r} and {beat.slots} slots")
+    return Ok(
+        Heartbeat(
+            instance_id,
+            beat.service,
+            beat.address,
+            beat.slots,
+            beat.state == "draining",
+            beat.born,
+            beat.sequence,
+            beat.cold_left_ms / 1000,
+        )
+    )
--- a/bamboojunction/platform/http.py
+++ b/bamboojunction/platform/http.py
@@ -1,6 +1,7 @@
 """The platform's object API over HTTP."""
 
 import ipaddress
+import socket
 from collections.abc import Callable
 from enum import Enum, auto
 from typing import TypeVar
@@ -25,6 +26,13 @@
 # A watch that gets no answer for this long after its wait counts as hung.
 WATCH_GRACE_SECONDS = 2.0
 CONNECTIONS_MAX = 4
+# Keep-alive probes end a connection to a silent store after about three seconds.
+PROBE_IDLE_SECONDS = 1
+PROBE_INTERVAL_SECONDS = 1
+PROBES_MAX = 2
+SILENCE_MAX_MS = 3_000
+# The longest wait of a watch that the store accepts.
+WATCH_WAIT_MAX_MS = 30_000
 
 Parsed = TypeVar("Parsed")
 
@@ -36,6 +44,34 @@
     WRITE = auto()
 
 
+class _Metadata(msgspec.Struct):
+    name: str
+    # The store's revision of the object's last change.
+    rev: int = 0
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: object = None
+
+
+class _Page(msgspec.Struct):
+    items: list[_Object]
+    store_revision: int
+    # Whether objects with later names are left; ``after`` in the query continues.
+    more: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Event]
+    store_revision: int
+
+
 class HttpPlatformClient(PlatformClient):
     """Call the first address that answers; each failure moves on to the next address."""
 
@@ -56,38 +92,59 @@
 
     async def get(self, collection: str, name: str) -> Result[PlatformObject, PlatformError]:
         """Read one object."""
-        path = f"/objects/{quote(collection, safe='')}/{quote(name, safe='')}"
-        return await self._call("GET", path, _Effect.READ, _parser(PlatformObject))
+        path = _path(collection, name)
+        return await self._call("GET", path, _Effect.READ, _object_parser(collection))
 
     async def list(self, collection: str) -> Result[ObjectList, PlatformError]:
-        """Read a whole collection."""
-        path = f"/objects/{quote(collection, safe='')}"
-        return await self._call("GET", path, _Effect.READ, _parser(ObjectList))
+        """Read a whole collection, page by page; the first page's revision counts."""
+        objects: list[PlatformObject] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            path = _path(collection) + (f"?after={quote(after, safe='')}" if after else "")
+            result = await self._call("GET", path, _Effect.READ, _parser(_Page))
+            if result.is_err():
+                return result
+            page = result.ok()
+            revision = page.store_revision if revision is None else revision
+            objects.extend(_to_object(collection, item) for item in page.items)
+            if not page.more or not page.items:
+                return Ok(ObjectList(revision, objects))
+            after = page.items[-1].metadata.name
 
     async def put(
         self, collection: str, name: str, value: dict, if_version: int
     ) -> Result[PlatformObject, PlatformError]:
         """Write an object if it still has a version."""
-        path = f"/objects/{quote(collection, safe='')}/{quote(name, safe='')}"
-        path += f"?if_version={if_version}"
-        body = msgspec.json.encode(value)
-        return await self._call("PUT", path, _Effect.WRITE, _parser(PlatformObject), body=body)
+        metadata = {"name": name}
+        method, path = "POST", _path(collection)
+        if if_version:
+            metadata["rev"] = if_version
+            method, path = "PUT", _path(collection, name)
+        body = msgspec.json.encode({"metadata": metadata, "spec": value})
+        parse = _object_parser(collection)
+        result = await self._call(method, path, _Effect.WRITE, parse, body=body)
+        if if_version and result.is_err():
+            # An object that is gone conflicts with any version that a caller names.
+            return result.map_err(_conflict_if_missing)
+        return result
 
     async def delete(
         self, collection: str, name: str, if_version: int
     ) -> Result[None, PlatformError]:
         """Delete an object if it still has a version."""
-        path = f"/objects/{quote(collection, safe='')}/{quote(name, safe='')}"
-        path += f"?if_version={if_version}"
+        path = f"{_path(collection, name)}?rev={if_version}"
         return await self._call("DELETE", path, _Effect.WRITE, lambda body: None)
 
     async def watch(
         self, collection: str, since: int, wait_seconds: float
     ) -> Result[WatchBatch, PlatformError]:
         """Wait for changes after a revision."""
-        path = f"/watch/{quote(collection, safe='')}?since={since}&wait={wait_seconds}"
+        wait_ms = min(WATCH_WAIT_MAX_MS, int(wait_seconds * 1000))
+        path = f"{_path(collection)}?watch={since}&wait_ms={wait_ms}"
         timeout = wait_seconds + WATCH_GRACE_SECONDS
-        return await self._call("GET", path, _Effect.READ, _parser(WatchBatch), timeout=timeout)
+        result = await self._call("GET", path, _Effect.READ, _parser(_Events), timeout=timeout)
+        return result.map(lambda events: _to_batch(collection, events))
 
     async def close(self) -> None:
         """Close the connections."""
@@ -125,9 +182,10 @@
     ) -> Result[Parsed, PlatformError]:
         url = f"http://{address}{path}"
         limit = aiohttp.ClientTimeout(total=timeout or self._timeout_seconds)
+        headers = {"Content-Type": "application/json"} if body is not None else None
         try:
             async with self._open_session().request(
-                method, url, data=body, timeout=limit
+                method, url, data=body, headers=headers, timeout=limit
             ) as answer:
                 content = await _read_bounded(answer)
                 return _interpret(answer.status, content, effect, parse)
@@ -138,13 +196,26 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=CONNECTIONS_MAX)
+            connector = aiohttp.TCPConnector(limit=CONNECTIONS_MAX, socket_factory=_open_socket)
             self._session = aiohttp.ClientSession(
                 connector=connector, trust_env=False, middlewares=(send_once,)
             )
         return self._session
 
 
+def _open_socket(address_info: tuple) -> socket.socket:
+    """Open a socket that finds a silent peer by probes, also while a watch waits."""
+    family, kind, protocol, _, _ = address_info
+    opened = socket.socket(family, kind, protocol)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_MAX)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MAX_MS)
+    return opened
+
+
 async def _read_bounded(answer: aiohttp.ClientResponse) -> bytes:
     content = bytearray()
     async for chunk in answer.content.iter_chunked(65_536):
@@ -190,6 +261,36 @@
             return PlatformError(PlatformErrorKind.LOST_ANSWER, detail)
 
 
+def _conflict_if_missing(error: PlatformError) -> PlatformError:
+    if error.kind is PlatformErrorKind.NOT_FOUND:
+        return PlatformError(PlatformErrorKind.CONFLICT, error.detail)
+    return error
+
+
+def _path(collection: str, name: str = "") -> str:
+    path = f"/objects/{quote(collection, safe='')}"
+    return f"{path}/{quote(name, safe='')}" if name else path
+
+
+def _to_object(collection: str, found: _Object) -> PlatformObject:
+    value = found.spec if isinstance(found.spec, dict) else {}
+    return PlatformObject(collection, found.metadata.name, found.metadata.rev, value)
+
+
+def _to_batch(collection: str, found: _Events) -> WatchBatch:
+    """Keep the last event of each object."""
+    last_by_name = {event.object.metadata.name: event for event in found.events}
+    events = last_by_name.values()
+    changed = [_to_object(collection, event.object) for event in events if not event.deleted]
+    deleted = [event.object.metadata.name for event in events if event.deleted]
+    return WatchBatch(found.store_revision, changed, deleted)
+
+
+def _object_parser(collection: str) -> Callable[[bytes], PlatformObject]:
+    decode = _parser(_Object)
+    return lambda content: _to_object(collection, decode(content))
+
+
 def _parser(kind: type[Parsed]) -> Callable[[bytes], Parsed]:
     return msgspec.json.Decoder(kind).decode
 
--- /dev/null
+++ b/bamboojunction/platform/machine.py
@@ -0,0 +1,124 @@
+"""The settings file that the platform writes for a process, decoded into the product's terms."""
+
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+# The environment variable that holds the path of the file.
+FILE_VARIABLE = "BAMBOOJUNCTION_NODE_FILE"
+
+
+class _Limits(msgspec.Struct):
+    max_fds: int = 1024
+    memory_mb: int = 128
+
+
+class _Machine(msgspec.Struct):
+    node: str
+    zone: str
+    region: str
+    ip: str
+    service: str
+    # The address of the backend, which only this machine reaches.
+    app_addr: str
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Listen(msgspec.Struct):
+    outbound: str
+    ready: str
+    control: str
+
+
+class _Network(msgspec.Struct):
+    listen: _Listen
+    port_range: tuple[int, int]
+
+
+class _Store(msgspec.Struct):
+    address: str
+    writes_per_s: float
+    reads_per_s: float
+
+
+class _Provider(msgspec.Struct):
+    provider: _Store
+    beat_ms: int = 1500
+
+
+class _Bounds(msgspec.Struct):
+    drain_ms: int = 2000
+    grace_s: float = 6.0
+    budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    budget_slack: float = 48.0
+
+
+class _Terms(msgspec.Struct):
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+class _File(msgspec.Struct):
+    self: _Machine
+    network: _Network
+    provider: _Provider
+    terms: _Terms
+
+
+@dataclass(slots=True, frozen=True)
+class MachineSettings:
+    """Hold what the platform tells a node about its place; times are in seconds.
+
+    ``store_writes`` and ``store_reads`` are the rates of calls a second that all nodes share.
+    ``repeat_ratio``, ``repeat_slack`` and ``repeat_window`` bound the arrivals at a service beyond
+    the first of each request, over all nodes.
+    """
+
+    instance: str
+    service: str
+    data_centre: str
+    region: str
+    upstream_address: str
+    caller_address: str
+    ready_address: str
+    heartbeat_address: str
+    link_address: str
+    store_address: str
+    store_writes: float
+    store_reads: float
+    stop_seconds: float
+    repeat_ratio: float
+    repeat_window: float
+    repeat_slack: float
+    descriptors_max: int
+
+
+def read_machine(text: bytes) -> Result[MachineSettings, str]:
+    """Decode the settings file, or say which field is missing or wrong."""
+    try:
+        file = msgspec.yaml.decode(text, type=_File)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Err(str(error))
+    machine, bounds, store = file.self, file.terms.bounds, file.provider.provider
+    return Ok(
+        MachineSettings(
+            instance=machine.node,
+            service=machine.service,
+            data_centre=machine.zone,
+            region=machine.region,
+            upstream_address=machine.app_addr,
+            caller_address=file.network.listen.outbound,
+            ready_address=file.network.listen.ready,
+            heartbeat_address=file.network.listen.control,
+            link_address=f"{machine.ip}:{file.network.port_range[0]}",
+            store_address=store.address,
+            store_writes=store.writes_per_s,
+            store_reads=store.reads_per_s,
+            stop_seconds=bounds.grace_s,
+            repeat_ratio=bounds.budget_ratio,
+            repeat_window=bounds.budget_window_s,
+            repeat_slack=bounds.budget_slack,
+            descriptors_max=machine.limits.max_fds,
+        )
+    )
--- /dev/null
+++ b/bamboojunction/platform/requests.py
@@ -0,0 +1,145 @@
+"""The headers of requests and answers, between callers, nodes and upstreams."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bamboojunction.core.outcomes import NotRun, Outcome, Ran, Unknown, UnknownReason
+
+READY_PATH = "/readyz"
+_REQUEST_ID = "bamboojunction-request-id"
+_DEADLINE_MS = "bamboojunction-deadline-ms"
+_EXPECT_INSTANCE = "bamboojunction-expect-instance"
+_CALLER_SERVICE = "bamboojunction-caller-service"
+_NOT_EXECUTED = "bamboojunction-not-executed"
+_MISDIRECTED = 421
+# Set by the node on each request to an upstream, whatever a caller sent.
+_OWN_HEADERS = frozenset({_DEADLINE_MS, _EXPECT_INSTANCE, _CALLER_SERVICE})
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(slots=True, frozen=True)
+class CallerHeaders:
+    """Hold what a caller's headers say; ``deadline`` is in seconds, None when it names none."""
+
+    host: str
+    request_id: str
+    deadline: float | None
+    forwarded: Headers
+
+
+def read_caller_headers(raw: Iterable[tuple[bytes, bytes]]) -> CallerHeaders:
+    """Decode the headers of a caller's request; names are in lower case."""
+    pairs = [(name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in raw]
+    named = dict(pairs)
+    dropped = _HOP_HEADERS | _OWN_HEADERS | _connection_options(named.get("connection", ""))
+    host = named.get("host", "")
+    return CallerHeaders(
+        host=host.rpartition(":")[0] if ":" in host else host,
+        request_id=named.get(_REQUEST_ID, ""),
+        deadline=_milliseconds(named.get(_DEADLINE_MS)),
+        forwarded=tuple(pair for pair in pairs if pair[0] not in dropped),
+    )
+
+
+def upstream_headers(
+    forwarded: Headers, remaining: float, instance_id: str, caller_service: str
+) -> list[tuple[str, str]]:
+    """Return the headers of a request to an upstream; ``remaining`` is in seconds."""
+    return [
+        *forwarded,
+        (_DEADLINE_MS, str(max(1, int(remaining * 1000)))),
+        (_EXPECT_INSTANCE, instance_id),
+        (_CALLER_SERVICE, caller_service),
+    ]
+
+
+def request_id_of(headers: Headers) -> str:
+    """Return the id of a request or of an answer, empty when it has none."""
+    return next((value for name, value in headers if name == _REQUEST_ID), "")
+
+
+def is_refusal(status: int, headers: Headers) -> bool:
+    """Return whether an upstream's answer says that it did not run the request."""
+    return status == _MISDIRECTED or any(name == _NOT_EXECUTED for name, _ in headers)
+
+
+def is_misdirected(status: int) -> bool:
+    """Return whether another instance than the expected one answered."""
+    return status == _MISDIRECTED
+
+
+def end_to_end_headers(headers: Headers) -> Headers:
+    """Return an upstream's headers without those that concern one connection."""
+    named = dict(headers)
+    dropped = _HOP_HEADERS | _connection_options(named.get("connection", ""))
+    return tuple(pair for pair in headers if pair[0] not in dropped)
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Hold an answer to a caller."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+def answer_of(outcome: Outcome, request_id: str) -> Answer:
+    """Return the answer that tells a caller an outcome.
+
+    Status 503 promises that nothing ran; 502 and 504 promise nothing.
+    """
+    match outcome:
+        case Ran(status=status, headers=headers, body=body):
+            return Answer(status, headers, body)
+        case NotRun(reason=reason, retry_after=retry_after):
+            return _own_answer(503, reason.value, request_id, max(0.0, retry_after))
+        case Unknown(reason=UnknownReason.DEADLINE):
+            return _own_answer(504, UnknownReason.DEADLINE.value, request_id)
+        case Unknown(reason=reason):
+            return _own_answer(502, reason.value, request_id)
+
+
+def error_answer(status: int, reason: str, request_id: str) -> Answer:
+    """Return the answer to a request that the configuration does not allow."""
+    return _own_answer(status, reason, request_id)
+
+
+def _own_answer(
+    status: int, reason: str, request_id: str, retry_after: float | None = None
+) -> Answer:
+    headers = [("content-type", "text/plain")]
+    if request_id:
+        headers.append((_REQUEST_ID, request_id))
+    if retry_after is not None:
+        headers.append(("retry-after", f"{retry_after:.3f}"))
+    return Answer(status, tuple(headers), f"{reason}\n".encode())
+
+
+def _connection_options(value: str) -> frozenset[str]:
+    if not value:
+        return frozenset()
+    return frozenset(option.strip().lower() for option in value.split(","))
+
+
+def _milliseconds(text: str | None) -> float | None:
+    try:
+        return None if text is None else float(text) / 1000
+    except ValueError:
+        return None
--- /dev/null
+++ b/bamboojunction/upstreams/pool.py
@@ -0,0 +1,97 @@
+"""The connections to the upstream beside a node, reused while that is safe."""
+
+import asyncio
+import socket
+from collections import deque
+
+from bamboojunction.upstreams.exchange import Failure, RawAnswer, UpstreamConnection
+
+CONNECT_SECONDS = 1.0
+# An upstream may close an idle connection at the moment a request is written to it, so one that was
+# idle for longer than this carries no request that may run only once.
+ONCE_IDLE_SECONDS = 0.5
+# What is left of the upstream's stated idle time when a connection is given up.
+IDLE_MARGIN_SECONDS = 1.5
+IDLE_SECONDS = 4.0
+# Unanswered bytes end a silent connection after this time.
+USER_TIMEOUT_MS = 3_000
+
+
+class UpstreamPool:
+    """Own the connections to one address; the most recently used one is taken first."""
+
+    __slots__ = ("_host", "_idle", "_in_use", "_loop", "_port", "connections_max", "opened")
+
+    def __init__(self, address: str, connections_max: int):
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._loop = asyncio.get_running_loop()
+        self._idle: deque[UpstreamConnection] = deque()
+        self._in_use = 0
+        self.connections_max = connections_max
+        self.opened = 0
+
+    async def exchange(self, request: bytes, is_repeatable: bool) -> RawAnswer | Failure:
+        """Send a request and return its answer.
+
+        A repeatable request is sent again on a new connection when a reused one turns out to be
+        closed; others use a reused connection only shortly after its last answer.
+        """
+        connection = self._take_idle(is_repeatable)
+        if connection is not None:
+            answer = await self._exchange_on(connection, request)
+            if answer is Failure.NOT_SENT:
+                pass
+            elif answer is not Failure.CLOSED or not is_repeatable:
+                return answer
+        connection = await self._connect()
+        if connection is None:
+            return Failure.NOT_SENT
+        return await self._exchange_on(connection, request)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().abort()
+
+    async def _exchange_on(
+        self, connection: UpstreamConnection, request: bytes
+    ) -> RawAnswer | Failure:
+        answer = await connection.exchange(request)
+        if connection.is_reusable:
+            connection.idle_since = self._loop.time()
+            self._idle.append(connection)
+        return answer
+
+    def _take_idle(self, is_repeatable: bool) -> UpstreamConnection | None:
+        now = self._loop.time()
+        while self._idle and not self._is_usable(self._idle[0], now):
+            self._idle.popleft().abort()
+        if not self._idle:
+            return None
+        newest = self._idle[-1]
+        if not newest.is_reusable:
+            self._idle.pop()
+            return self._take_idle(is_repeatable)
+        if not is_repeatable and now - newest.idle_since > ONCE_IDLE_SECONDS:
+            return None
+        return self._idle.pop()
+
+    def _is_usable(self, connection: UpstreamConnection, now: float) -> bool:
+        stated = connection.idle_seconds_max
+        allowed = IDLE_SECONDS if stated is None else max(0.0, stated - IDLE_MARGIN_SECONDS)
+        return connection.is_reusable and now - connection.idle_since < min(allowed, IDLE_SECONDS)
+
+    async def _connect(self) -> UpstreamConnection | None:
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                transport, connection = await self._loop.create_connection(
+                    UpstreamConnection, self._host, self._port
+                )
+        except (OSError, TimeoutError):
+            return None
+        self.opened += 1
+        raw = transport.get_extra_info("socket")
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        return connection
--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -20,6 +21,7 @@
 from bamboo_standins.fault_proxy import FaultProxy, ProxyFaults
 from bamboojunction.core.table.csvfile import parse_table
 from bamboojunction.core.table.objects import Edit, table_value
+from bamboojunction.platform.http import HttpPlatformClient
 
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
@@ -162,20 +164,24 @@
 
     async def write_table(self, text: str, if_version: int) -> int:
         """Write the table and return the platform's version of it."""
-        url = f"http://127.0.0.1:{self.platform_port}/objects/tables/table?if_version={if_version}"
         table = parse_table(text, if_version, "").unwrap()
         edit = Edit(f"edit-{if_version}", "fleet", "")
         value = table_value(table, edit, if_version, {}, [])
-        async with self._session.put(url, json=value) as response:
-            response.raise_for_status()
-            return (await response.json())["version"]
+        async with self._platform_client() as client:
+            return (await client.put("tables", "table", value, if_version)).unwrap().version
 
     async def table_version(self) -> int:
         """Return the platform's version of the table."""
-        url = f"http://127.0.0.1:{self.platform_port}/objects/tables/table"
-        async with self._session.get(url) as response:
-            response.raise_for_status()
-            return (await response.json())["version"]
+        async with self._platform_client() as client:
+            return (await client.get("tables", "table")).unwrap().version
+
+    @contextlib.asynccontextmanager
+    async def _platform_client(self):
+        client = HttpPlatformClient([f"127.0.0.1:{self.platform_port}"], timeout_seconds=5.0)
+        try:
+            yield client
+        finally:
+            await client.close()
 
     async def start_upstream(self, name: str) -> None:
         """Start the upstream stand-in of an instance."""
--- a/devtools/bamboo_standins/platform.py
+++ b/devtools/bamboo_standins/platform.py
@@ -13,9 +13,16 @@
 from result import Err, Ok, Result
 
 from bamboo_standins.object_store import ObjectStore
-from bamboojunction.platform.client import PlatformError, PlatformErrorKind
-
-WATCH_WAIT_MAX_SECONDS = 60.0
+from bamboojunction.platform.client import (
+    ObjectList,
+    PlatformError,
+    PlatformErrorKind,
+    PlatformObject,
+    WatchBatch,
+)
+
+WATCH_WAIT_MAX_MS = 30_000
+PAGE_OBJECTS = 500
 STATUS_BY_ERROR = {
     PlatformErrorKind.CONFLICT: 409,
     PlatformErrorKind.NOT_FOUND: 404,
@@ -64,11 +71,11 @@
         app = web.Application(client_max_size=2_000_000)
         app.add_routes(
             [
-                web.get("/objects/{collection}", self._list),
+                web.get("/objects/{collection}", self._list_or_watch),
                 web.get("/objects/{collection}/{name}", self._get),
+                web.post("/objects/{collection}", self._create),
                 web.put("/objects/{collection}/{name}", self._put),
                 web.delete("/objects/{collection}/{name}", self._delete),
-                web.get("/watch/{collection}", self._watch),
                 web.post("/_faults", self._set_faults),
                 web.get("/_counts", self._show_counts),
             ]
@@ -91,33 +98,43 @@
     async def _show_counts(self, request: web.Request) -> web.Response:
         return web.json_response(dict(self.counts))
 
-    async def _list(self, request: web.Request) -> web.Response:
+    async def _list_or_watch(self, request: web.Request) -> web.Response:
+        if "watch" in request.query:
+            return await self._watch(request)
         await self._fail_if_asked(request, "reads")
-        return _answer(self._readable().list(request.match_info["collection"]))
+        found = self._readable().list(request.match_info["collection"])
+        return _answer(_list_body(found, request.query.get("after", "")))
 
     async def _get(self, request: web.Request) -> web.Response:
         await self._fail_if_asked(request, "reads")
         found = self._readable().get(request.match_info["collection"], request.match_info["name"])
-        return _answer_result(found)
+        return _answer_result(found.map(_object_body))
+
+    async def _create(self, request: web.Request) -> web.Response:
+        await self._fail_if_asked(request, "writes")
+        body = await request.json()
+        return await self._write(request, body["metadata"]["name"], body["spec"], 0)
 
     async def _put(self, request: web.Request) -> web.Response:
         await self._fail_if_asked(request, "writes")
-        written = self.store.put(
-            request.match_info["collection"],
-            request.match_info["name"],
-            await request.json(),
-            int(request.query["if_version"]),
-        )
+        body = await request.json()
+        name = request.match_info["name"]
+        if self.store.get(request.match_info["collection"], name).is_err():
+            return web.Response(status=404)
+        return await self._write(request, name, body["spec"], body["metadata"]["rev"])
+
+    async def _write(self, request: web.Request, name: str, value, version: int) -> web.Response:
+        written = self.store.put(request.match_info["collection"], name, value, version)
         await self._wake_watches()
         self._lose_if_asked(request)
-        return _answer_result(written)
+        return _answer_result(written.map(_object_body))
 
     async def _delete(self, request: web.Request) -> web.Response:
         await self._fail_if_asked(request, "writes")
         deleted = self.store.delete(
             request.match_info["collection"],
             request.match_info["name"],
-            int(request.query["if_version"]),
+            int(request.query["rev"]),
         )
         await self._wake_watches()
         self._lose_if_asked(request)
@@ -126,8 +143,8 @@
     async def _watch(self, request: web.Request) -> web.Response:
         await self._fail_if_asked(request, "watches")
         collection = request.match_info["collection"]
-        since = int(request.query["since"])
-        wait = min(float(request.query.get("wait", "0")), WATCH_WAIT_MAX_SECONDS)
+        since = int(request.query["watch"])
+        wait = min(int(request.query.get("wait_ms", "0")), WATCH_WAIT_MAX_MS) / 1000
         loop = asyncio.get_running_loop()
         end = loop.time() + wait
         while True:
@@ -138,7 +155,7 @@
             await self._wait_for_change(end - loop.time())
         if self.faults.down:
             self._drop(request)
-        return _answer_result(batch)
+        return _answer_result(batch.map(_events_body))
 
     async def _wait_for_change(self, seconds: float) -> None:
         async with self._changed:
@@ -199,6 +216,35 @@
             return _error(error)
 
 
+def _object_body(found: PlatformObject) -> dict:
+    metadata = {
+        "name": found.name,
+        "rev": found.version,
+        "created": found.version,
+        "finalizers": [],
+        "deleting": False,
+    }
+    return {"metadata": metadata, "spec": found.value, "status": None}
+
+
+def _list_body(found: ObjectList, after: str) -> dict:
+    later = sorted(
+        (item for item in found.objects if item.name > after), key=lambda item: item.name
+    )
+    items = [_object_body(item) for item in later[:PAGE_OBJECTS]]
+    return {
+        "items": items,
+        "more": len(later) > PAGE_OBJECTS,
+        "store_revision": found.revision,
+    }
+
+
+def _events_body(batch: WatchBatch) -> dict:
+    changed = [{"object": _object_body(item), "deleted": False} for item in batch.changed]
+    deleted = [{"object": {"metadata": {"name": name}}, "deleted": True} for name in batch.deleted]
+    return {"events": changed + deleted, "store_revision": batch.revision}
+
+
 def _answer(value) -> web.Response:
     return web.Response(body=msgspec.json.encode(value), content_type="application/json")
 
