--- a/bamboojunction/core/retries/fleet_budget.py
+++ b/bamboojunction/core/retries/fleet_budget.py
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RepeatBounds:
-    """Hold the fleet's bound: ``ratio`` of the requests and ``slack`` more in ``window`` seconds."""
+    """Hold the fleet's bound: ``ratio`` of requests and ``slack`` more in ``window`` seconds."""
 
     ratio: float
     slack: float
--- /dev/null
+++ b/tests/adapter/test_heartbeats.py
@@ -0,0 +1,54 @@
+"""Reports of upstreams are decoded once; those that cannot be read name no upstream."""
+
+import json
+import unittest
+
+from bamboojunction.platform.heartbeats import Departure, read_report
+
+BEAT = {
+    "service": "menu",
+    "address": "10.0.0.1:8080",
+    "zone": "lac",
+    "version": "v1",
+    "slots": 49,
+    "state": "ready",
+    "cold_left_ms": 1500,
+    "sequence": 4,
+    "born": 1700000000123,
+}
+
+
+def encode(**changes) -> bytes:
+    return json.dumps({**BEAT, **changes}).encode()
+
+
+class HeartbeatTests(unittest.TestCase):
+    def test_heartbeat_is_decoded(self):
+        beat = read_report("PUT", "/instances/i-7", encode()).unwrap()
+        self.assertEqual((beat.instance_id, beat.service, beat.slots), ("i-7", "menu", 49))
+        self.assertEqual((beat.started_at, beat.sequence), (1700000000123, 4))
+        self.assertEqual(beat.cold_seconds, 1.5)
+        self.assertFalse(beat.is_draining)
+
+    def test_draining_state_is_decoded(self):
+        self.assertTrue(
+            read_report("PUT", "/instances/i-7", encode(state="draining")).unwrap().is_draining
+        )
+
+    def test_departure_is_decoded(self):
+        self.assertEqual(read_report("DELETE", "/instances/i-7", b"").unwrap(), Departure("i-7"))
+
+    def test_reports_of_other_writers_are_refused(self):
+        bodies = {
+            "not JSON": b"\xff{",
+            "a list": b"[]",
+            "unknown state": encode(state="asleep"),
+            "text for slots": encode(slots="49"),
+            "no slots": encode(slots=0),
+            "fraction for the start": encode(born=1.5),
+        }
+        for name, body in bodies.items():
+            with self.subTest(name):
+                self.assertTrue(read_report("PUT", "/instances/i-7", body).is_err())
+        self.assertTrue(read_report("PUT", "/instances/", encode()).is_err())
+        self.assertTrue(read_report("POST", "/instances/i-7", encode()).is_err())
--- /dev/null
+++ b/tests/adapter/test_machine.py
@@ -0,0 +1,53 @@
+"""The platform's settings file is decoded into the product's terms."""
+
+import unittest
+
+from bamboojunction.platform.machine import read_machine
+
+FILE = b"""
+self:
+  node: "sidecar-lac-1"
+  zone: "lac"
+  region: "nord"
+  ip: "10.1.0.8"
+  app_addr: "10.1.0.8:8301"
+  service: "menu"
+  limits:
+    max_fds: 4100
+    memory_mb: 300
+network:
+  listen:
+    outbound: "10.1.0.8:8304"
+    ready: "10.1.0.8:8302"
+    control: "10.1.0.8:8306"
+  port_range:
+    - 7620
+    - 7635
+provider:
+  beat_ms: 1500
+  provider:
+    address: "10.200.1.7:8309"
+    writes_per_s: 400
+    reads_per_s: 2000
+terms:
+  new_field: true
+  bounds:
+    grace_s: 6
+    budget_ratio: 0.2
+    budget_window_s: 10
+    budget_slack: 48
+"""
+
+
+class MachineTests(unittest.TestCase):
+    def test_file_is_decoded(self):
+        machine = read_machine(FILE).unwrap()
+        self.assertEqual((machine.instance, machine.data_centre), ("sidecar-lac-1", "lac"))
+        self.assertEqual(machine.link_address, "10.1.0.8:7620")
+        self.assertEqual(machine.upstream_address, "10.1.0.8:8301")
+        self.assertEqual((machine.repeat_ratio, machine.repeat_slack), (0.2, 48))
+        self.assertEqual(machine.stop_seconds, 6)
+
+    def test_missing_field_is_named(self):
+        problem = read_machine(FILE.replace(b"app_addr", b"app")).unwrap_err()
+        self.assertIn("app_addr", problem)
