--- a/bamboojunction/core/calls.py
+++ b/bamboojunction/core/calls.py
@@ -11,7 +11,8 @@
     this call and everything below it may still spend. ``key`` is the text of an action key, or
     empty; ``attempt`` numbers the attempts of a keyed call and is set by its home, as is ``gate``,
     the only gate incarnation that may run the attempt. ``caller`` is the service beside the node
-    where the call entered.
+    where the call entered; ``aim`` is the time in seconds within which an answer is as good as an
+    earlier one, known where the call entered only.
     """
 
     action: str
@@ -29,3 +30,4 @@
     traceparent: str = ""
     gate: str = ""
     caller: str = ""
+    aim: float = 0.0
--- a/bamboojunction/core/routing/router.py
+++ b/bamboojunction/core/routing/router.py
@@ -28,7 +28,9 @@
     """Describe an attempt that needs an upstream; ``excluded`` names instances already tried.
 
     ``idempotent`` calls may test upstreams that were ejected. ``suspect`` is the fingerprint of a
-    call that was in flight at a crash, or None.
+    call that was in flight at a crash, or None. ``only_untried`` refuses rather than choose an
+    excluded instance. ``aim`` is the time in seconds within which an answer is as good as an earlier
+    one, 0 when the earliest is wanted.
     """
 
     service: str
@@ -40,6 +42,8 @@
     excluded: frozenset[str] = frozenset()
     idempotent: bool = True
     suspect: int | None = None
+    only_untried: bool = False
+    aim: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -184,7 +188,7 @@
         if not upstreams.far.entries:
             return near
         far, far_seconds = self._best(upstreams, upstreams.far, request, now)
-        if near is None or (far is not None and spills(near_seconds, far_seconds)):
+        if near is None or (far is not None and spills(near_seconds, far_seconds, request.aim)):
             return far
         return near
 
@@ -242,7 +246,7 @@
             for upstream in staying
             if upstream.announcement.instance not in request.excluded
         ]
-        candidates = fresh or staying
+        candidates = fresh if request.only_untried else fresh or staying
         if not candidates:
             return None
         sample = self._random.sample(candidates, min(self._sample_size, len(candidates)))
--- a/bamboojunction/mesh/face.py
+++ b/bamboojunction/mesh/face.py
@@ -144,6 +144,8 @@
             headers=headers.forwarded,
             body=body,
             caller=self._service,
+            aim=route.aim,
+            depth=0 if self._ports.is_client(scope["client"]) else 1,
         )
 
     async def _watched(self, outcome: Awaitable[Outcome], receive) -> Outcome:
--- a/bamboojunction/mesh/forwarding.py
+++ b/bamboojunction/mesh/forwarding.py
@@ -35,7 +35,7 @@
 
     async def route(self, call: Call, row: Row, sends: KeyedSends | None = None) -> Outcome:
         """Attempt a request until it is settled or may not be sent again."""
-        attempts = AttemptProgress(sends)
+        attempts = AttemptProgress(sends, only_untried=True)
         progress = Progress()
         budget = self.budget(call.service)
         while True:
--- a/bamboojunction/mesh/gate.py
+++ b/bamboojunction/mesh/gate.py
@@ -87,14 +87,20 @@
 class MeshGate(GateService):
     """Serve calls at the upstream that the neighbour's heartbeats describe."""
 
-    __slots__ = ("_neighbour", "_service", "events")
+    __slots__ = ("_is_stopping", "_neighbour", "_service", "events")
 
     def bind(self, neighbour: Neighbour, service: str, events: EventLog) -> None:
         """Name the upstream's state, the service that calls must name and the log."""
         self._neighbour = neighbour
         self._service = service
+        self._is_stopping = False
         self.events = events
 
+    def stop(self) -> None:
+        """Refuse new calls for good, whatever the upstream reports, as the node leaves."""
+        self._is_stopping = True
+        self.drain()
+
     def resize(self, slots: int) -> None:
         """Take the slots of a new upstream; calls of the old one have no slots any more."""
         self._carry_out(self._admission.drain(self._loop.time()))
@@ -109,7 +115,7 @@
     async def _serve_or_refuse(self, call: Call) -> GateReply:
         if call.service != self._service or not self._neighbour.is_known:
             return self._refused(call, NotRun(NotRunReason.UNREACHABLE))
-        if not self._neighbour.is_serving:
+        if self._is_stopping or not self._neighbour.is_serving:
             return self._refused(call, NotRun(NotRunReason.DRAINING))
         return await self._serve_admitted(call, hash(call.action), False)
 
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -131,8 +131,7 @@
         end = began + self.settings.stop_seconds - CLOSE_SECONDS
         self.events.stopping(in_flight=self.face.in_flight)
         self.face.is_stopping = True
-        self.neighbour.is_serving = False
-        self.gate.drain()
+        self.gate.stop()
         self.registry.announce(None)
         while self._loop.time() < end:
             is_left = self._loop.time() - began >= CALLERS_LEAVE_SECONDS
@@ -149,12 +148,14 @@
             task.cancel()
         try:
             async with asyncio.timeout(CLOSE_SECONDS / 2):
-                await self.server.close()
+                await asyncio.gather(
+                    self.server.close(),
+                    self.registry.close(),
+                    self.link_server.close(),
+                    self.links.close(),
+                )
         except TimeoutError:
-            pass
-        await self.registry.close()
-        await self.link_server.close()
-        await self.links.close()
+            self.events.close_cut()
         self.pool.close()
 
     def reload(self, settings: MachineSettings) -> None:
--- a/bamboojunction/mesh/registry.py
+++ b/bamboojunction/mesh/registry.py
@@ -96,6 +96,7 @@
         self._written: Announcement | None = None
         self._own_changed = asyncio.Event()
         self._by_instance: dict[str, Announcement] = {}
+        self._version_by_instance: dict[str, int] = {}
         self.on_instances: Callable[[dict[str, Announcement]], None] = lambda by_instance: None
         self.own_name = ""
         self._tasks: list[asyncio.Task] = []
@@ -131,6 +132,15 @@
                 if not await self._write():
                     pause = self._random.uniform(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX)
                     await asyncio.sleep(pause)
+            for name in self._superseded():
+                await self._remove(name)
+
+    async def _remove(self, name: str) -> None:
+        """Remove an announcement of a machine that is gone, unless it has changed meanwhile."""
+        result = await self._client.delete(COLLECTION, name, self._version_by_instance[name])
+        self._events.announcement_removed(name, result.is_ok())
+        if result.is_ok():
+            self._by_instance.pop(name, None)
 
     async def _write(self) -> bool:
         """Make one call that brings the store closer to what is wanted."""
@@ -187,13 +197,35 @@
                 self._events.announcement_refused(item.name)
                 continue
             self._by_instance[item.name] = announcement
+            self._version_by_instance[item.name] = item.version
             if item.name == self.own_name and item.version > self._written_version:
                 self._written, self._written_version = announcement, item.version
         if self._written is not None and self.own_name not in self._by_instance:
             self._written, self._written_version = None, 0
-        if self._wanted != self._written:
+        if self._wanted != self._written or self._superseded():
             self._own_changed.set()
-        self.on_instances(dict(self._by_instance))
+        self.on_instances(without_superseded(self._by_instance))
+
+    def _superseded(self) -> list[str]:
+        """Return the names whose address this node has now; their machines are gone."""
+        own = self._wanted
+        if own is None:
+            return []
+        return [
+            name
+            for name, entry in self._by_instance.items()
+            if name != own.instance and entry.address == own.address
+        ]
+
+
+def without_superseded(by_instance: dict[str, Announcement]) -> dict[str, Announcement]:
+    """Keep the latest of the announcements that name the same address."""
+    latest: dict[str, Announcement] = {}
+    for entry in by_instance.values():
+        known = latest.get(entry.address)
+        if known is None or entry.started_at > known.started_at:
+            latest[entry.address] = entry
+    return {entry.instance: entry for entry in latest.values()}
 
 
 def _read_announcement(item: PlatformObject) -> Announcement | None:
--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -51,6 +51,7 @@
     excluded: frozenset[str] = frozenset()
     suspect: int | None = None
     earlier: Outcome | None = None
+    only_untried: bool = False
 
     def note(self, call: Call, outcome: Outcome, instance: str | None) -> None:
         """Learn from an attempt that another one follows."""
@@ -153,6 +154,8 @@
             progress.excluded,
             idempotent=row.effect is Effect.IDEMPOTENT,
             suspect=progress.suspect,
+            only_untried=progress.only_untried,
+            aim=call.aim,
         )
         sends = progress.sends
         match self._router.choose(request, now):
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -44,6 +44,10 @@
         """Log the end of the process."""
         self._emit("node.stopped", True, **pairs)
 
+    def close_cut(self) -> None:
+        """Log that peers did not close their connections in time."""
+        self._emit("node.close_cut", True)
+
     def reloaded(self, **pairs: object) -> None:
         """Log that the settings were read again."""
         self._emit("node.reloaded", True, **pairs)
@@ -73,6 +77,10 @@
         """Log an announcement that names no upstream."""
         self._emit("instance.refused", True, name=name)
 
+    def announcement_removed(self, name: str, is_done: bool) -> None:
+        """Log the removal of the announcement of a machine that is gone."""
+        self._emit("instance.removed", True, name=name, done=is_done)
+
     def instances_changed(self, joined: list[str], left: list[str], known: int) -> None:
         """Log which instances joined and left."""
         self._emit(
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -4,6 +4,7 @@
 
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
 from bamboojunction.core.routing.router import Chosen, Router
+from bamboojunction.core.routing.spill import spills
 from tests.routing.builders import SERVICE, announcement, end, report, request, teach
 
 
@@ -132,3 +133,11 @@
             router.update(SERVICE, kept)
         router.update(SERVICE, [announcement(n) for n in range(9)])
         self.assertEqual(9, len(chosen_counts(router, 400, 0.0)))
+
+
+class SpillTests(unittest.TestCase):
+    def test_call_stays_near_while_that_is_well_within_its_aim(self):
+        self.assertTrue(spills(0.3, 0.1))
+        self.assertFalse(spills(0.3, 0.1, aim=1.0))
+        self.assertTrue(spills(0.6, 0.1, aim=1.0))
+        self.assertFalse(spills(0.6, 0.5, aim=1.0))
