--- a/bamboojunction/core/routing/router.py
+++ b/bamboojunction/core/routing/router.py
@@ -29,8 +29,8 @@
 
     ``idempotent`` calls may test upstreams that were ejected. ``suspect`` is the fingerprint of a
     call that was in flight at a crash, or None. ``only_untried`` refuses rather than choose an
-    excluded instance. ``aim`` is the time in seconds within which an answer is as good as an earlier
-    one, 0 when the earliest is wanted.
+    excluded instance. ``aim`` is the time in seconds within which an answer is as good as an
+    earlier one, 0 when the earliest is wanted.
     """
 
     service: str
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -135,7 +135,7 @@
         self.assertEqual(9, len(chosen_counts(router, 400, 0.0)))
 
 
-class SpillTests(unittest.TestCase):
+class AimTests(unittest.TestCase):
     def test_call_stays_near_while_that_is_well_within_its_aim(self):
         self.assertTrue(spills(0.3, 0.1))
         self.assertFalse(spills(0.3, 0.1, aim=1.0))
