--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -47,9 +47,18 @@
     await node.stop()
 
 
+async def _run_and_exit(settings: MachineSettings) -> None:
+    """Run a node and end the process with it.
+
+    The event loop would wait for connections whose peers do not answer their closing.
+    """
+    await run_node(settings)
+    os._exit(os.EX_OK)
+
+
 def main() -> None:
     """Run the node of the machine that the settings file describes."""
-    uvloop.run(run_node(load_machine()))
+    uvloop.run(_run_and_exit(load_machine()))
 
 
 if __name__ == "__main__":
--- a/bamboojunction/mesh/face.py
+++ b/bamboojunction/mesh/face.py
@@ -20,6 +20,8 @@
 from bamboojunction.telemetry.events import EventLog
 
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5
+# A caller that comes back this late finds another node or the next process of this one.
+STOPPING_RETRY_AFTER_SECONDS = 0.3
 METRICS_PATH = "/metrics"
 
 
@@ -48,6 +50,7 @@
         self._loop = asyncio.get_running_loop()
         self.in_flight = 0
         self.is_stopping = False
+        self.refuses_callers = False
         self.metrics: Callable[[], bytes] = lambda: b""
 
     async def __call__(self, scope: dict, receive, send) -> None:
@@ -119,11 +122,15 @@
         if not routes.version:
             refusal = NotRun(NotRunReason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_AFTER_SECONDS)
             return requests.answer_of(refusal, headers.request_id)
+        is_client = self._ports.is_client(scope["client"])
+        if self.refuses_callers and is_client:
+            refusal = NotRun(NotRunReason.DRAINING, STOPPING_RETRY_AFTER_SECONDS)
+            return requests.answer_of(refusal, headers.request_id)
         route = routes.find(headers.host, scope["path"])
         if route is None:
             return requests.error_answer(404, "no-route", headers.request_id)
         call = self._call(scope, headers, route, body, started)
-        if self._ports.is_client(scope["client"]):
+        if is_client:
             self._forwarder.budget(call.service).requested(started)
         outcome = await self._watched(self._forwarder.route(call, route.row), receive)
         return requests.answer_of(outcome, headers.request_id)
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -42,6 +42,9 @@
 CONNECTIONS_UNKNOWN = 64
 # How long callers still send requests after readiness ended: two checks a second apart.
 CALLERS_LEAVE_SECONDS = 2.6
+# Callers that still send requests this long after the stop began are refused, so that each request
+# that was taken can end before the process does.
+REFUSE_SECONDS = 3.0
 # What is left of the stop's time for closing.
 CLOSE_SECONDS = 0.8
 LINK_SETTINGS = LinkSettings(
@@ -135,6 +138,8 @@
         self.registry.announce(None)
         while self._loop.time() < end:
             is_left = self._loop.time() - began >= CALLERS_LEAVE_SECONDS
+            if self._loop.time() - began >= REFUSE_SECONDS:
+                self.face.refuses_callers = True
             if is_left and not self.face.in_flight and not self.gate.report().in_flight:
                 break
             await asyncio.sleep(TICK_SECONDS)
--- a/bamboojunction/nodes/link.py
+++ b/bamboojunction/nodes/link.py
@@ -165,10 +165,11 @@
             if self.is_busy and now - self._last_received > 3 * self._heartbeat_seconds:
                 self.abandon()
                 return
-            if self.is_busy:
-                await self._send_heartbeat(token)
-            else:
+            if not self.is_busy:
                 self._last_received = now
+            elif now - self._last_received >= self._heartbeat_seconds:
+                # An answer within the interval shows as much as an echo.
+                await self._send_heartbeat(token)
 
     async def _send_heartbeat(self, token: int) -> None:
         """Send within one interval: on a link with full buffers the wait would never end."""
