--- a/bamboojunction/core/poison/guard.py
+++ b/bamboojunction/core/poison/guard.py
@@ -242,19 +242,19 @@
         guilty = {run.fingerprint for run in alone or repeated}
         findings: list[Finding] = []
         for fingerprint in guilty:
-            findings += self._explain(fingerprint)
+            findings += self._explain(fingerprint, guilty)
             ban = Ban(fingerprint, now + BAN_SECONDS)
             self._ban(ban)
             findings.append(ban)
         return findings
 
-    def _explain(self, guilty: int) -> list[Finding]:
-        """Clear the other suspects whose crashes the guilty request explains."""
-        crashes = self._suspects_by_fingerprint[guilty].crashes
+    def _explain(self, culprit: int, guilty: set[int]) -> list[Finding]:
+        """Clear the suspects that are not guilty and whose crashes one that is explains."""
+        crashes = self._suspects_by_fingerprint[culprit].crashes
         explained = [
             fingerprint
             for fingerprint, suspect in self._suspects_by_fingerprint.items()
-            if fingerprint != guilty and suspect.crashes <= crashes
+            if fingerprint not in guilty and suspect.crashes <= crashes
         ]
         for fingerprint in explained:
             del self._suspects_by_fingerprint[fingerprint]
--- a/bamboojunction/mesh/face.py
+++ b/bamboojunction/mesh/face.py
@@ -14,6 +14,7 @@
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
 from bamboojunction.core.routes import Route, RouteHolder
 from bamboojunction.mesh.forwarding import Forwarder
+from bamboojunction.mesh.gate import MeshGate
 from bamboojunction.mesh.neighbour import Neighbour
 from bamboojunction.platform import heartbeats, requests
 from bamboojunction.platform.requests import Answer, CallerHeaders
@@ -38,6 +39,7 @@
         holder: RouteHolder,
         forwarder: Forwarder,
         neighbour: Neighbour,
+        gate: MeshGate,
         events: EventLog,
         ports: "FacePorts",
     ):
@@ -45,6 +47,7 @@
         self._holder = holder
         self._forwarder = forwarder
         self._neighbour = neighbour
+        self._gate = gate
         self._events = events
         self._ports = ports
         self._loop = asyncio.get_running_loop()
@@ -122,7 +125,7 @@
         if not routes.version:
             refusal = NotRun(NotRunReason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_AFTER_SECONDS)
             return requests.answer_of(refusal, headers.request_id)
-        is_client = self._ports.is_client(scope["client"])
+        is_client = self._gate.parent_of(headers.request_id) is None
         if self.refuses_callers and is_client:
             refusal = NotRun(NotRunReason.DRAINING, STOPPING_RETRY_AFTER_SECONDS)
             return requests.answer_of(refusal, headers.request_id)
@@ -130,6 +133,7 @@
         if route is None:
             return requests.error_answer(404, "no-route", headers.request_id)
         call = self._call(scope, headers, route, body, started)
+        call.depth = 0 if is_client else 1
         if is_client:
             self._forwarder.budget(call.service).requested(started)
         outcome = await self._watched(self._forwarder.route(call, route.row), receive)
@@ -152,7 +156,6 @@
             body=body,
             caller=self._service,
             aim=route.aim,
-            depth=0 if self._ports.is_client(scope["client"]) else 1,
         )
 
     async def _watched(self, outcome: Awaitable[Outcome], receive) -> Outcome:
@@ -170,19 +173,14 @@
 
 
 class FacePorts:
-    """Name the ports of a node's face and the address of its machine."""
+    """Name the ports of a node's face; the rest belongs to the upstream's reports."""
 
-    __slots__ = ("_host", "callers", "ready")
+    __slots__ = ("callers", "ready")
 
-    def __init__(self, host: str, callers: int, ready: int):
-        self._host = host
+    def __init__(self, callers: int, ready: int):
         self.callers = callers
         self.ready = ready
 
-    def is_client(self, peer: tuple[str, int] | None) -> bool:
-        """Return whether a request comes from a client, not from the upstream of this machine."""
-        return peer is None or peer[0] != self._host
-
 
 async def _read_body(receive, body_max_bytes: int) -> bytes | None:
     """Return the whole body, or None when it is too large."""
--- a/bamboojunction/mesh/gate.py
+++ b/bamboojunction/mesh/gate.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from bamboojunction.core.admission.gate import Admission, ServiceEnd
+from bamboojunction.core.admission.gate import Admission, ServiceEnd, Ticket
 from bamboojunction.core.calls import Call
 from bamboojunction.core.outcomes import (
     NotRun,
@@ -87,15 +87,20 @@
 class MeshGate(GateService):
     """Serve calls at the upstream that the neighbour's heartbeats describe."""
 
-    __slots__ = ("_is_stopping", "_neighbour", "_service", "events")
+    __slots__ = ("_is_stopping", "_neighbour", "_running_ids", "_service", "events")
 
     def bind(self, neighbour: Neighbour, service: str, events: EventLog) -> None:
         """Name the upstream's state, the service that calls must name and the log."""
         self._neighbour = neighbour
         self._service = service
         self._is_stopping = False
+        self._running_ids: dict[str, Call] = {}
         self.events = events
 
+    def parent_of(self, request_id: str) -> Call | None:
+        """Return the running call whose upstream sent a request, by the id that it derived."""
+        return self._running_ids.get(request_id.rpartition(".")[0])
+
     def stop(self) -> None:
         """Refuse new calls for good, whatever the upstream reports, as the node leaves."""
         self._is_stopping = True
@@ -119,6 +124,17 @@
             return self._refused(call, NotRun(NotRunReason.DRAINING))
         return await self._serve_admitted(call, hash(call.action), False)
 
+    async def _run(self, ticket: Ticket, call: Call, fingerprint: int) -> GateReply:
+        self._running_ids[call.action] = call
+        try:
+            return await super()._run(ticket, call, fingerprint)
+        finally:
+            self._running_ids.pop(call.action, None)
+
+    def _note_end(self, ticket_id: int, outcome: Outcome | None) -> None:
+        """Leave the crash guard alone: requests differ by their ids only."""
+        self._guard.abandoned(ticket_id)
+
     def _upstream_headers(self, running: RunningCall) -> list[tuple[str, str]]:
         call = running.call
         remaining = call.deadline - self._loop.time()
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -97,12 +97,17 @@
             identity, LINK_SETTINGS, self._serve_request, _refuse_seal, self.links.handlers
         )
         ports = FacePorts(
-            host,
             split_address(settings.caller_address)[1],
             split_address(settings.ready_address)[1],
         )
         self.face = Face(
-            settings.service, self.holder, self.forwarder, self.neighbour, self.events, ports
+            settings.service,
+            self.holder,
+            self.forwarder,
+            self.neighbour,
+            self.gate,
+            self.events,
+            ports,
         )
         addresses = (
             settings.caller_address,
--- a/bamboojunction/mesh/registry.py
+++ b/bamboojunction/mesh/registry.py
@@ -52,7 +52,9 @@
             if self._revision is None:
                 result = await self._client.list(self._collection)
             else:
-                result = await self._client.watch(self._collection, self._revision, WATCH_SECONDS)
+                # After a failure a short call shows that the store answers before a long one waits.
+                wait = WATCH_SECONDS if self._is_reached else 0.0
+                result = await self._client.watch(self._collection, self._revision, wait)
             match result:
                 case Ok(ObjectList(revision, objects)):
                     self._revision = revision
--- a/bamboojunction/nodes/server.py
+++ b/bamboojunction/nodes/server.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from loguru import logger
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
 from bamboojunction.conf.settings import LinkSettings
+from bamboojunction.core.outcomes import Unknown, UnknownReason
 from bamboojunction.nodes.codec import decode, encode
 from bamboojunction.nodes.convert import reply_to_answer
 from bamboojunction.nodes.handshake import Identity, is_proof, new_nonce, prove
@@ -76,7 +78,12 @@
         task.add_done_callback(lambda _: self._tasks_by_id.pop(request.request_id, None))
 
     async def _serve(self, request: CallRequest) -> None:
-        reply = await self._on_call(request)
+        try:
+            reply = await self._on_call(request)
+        except Exception:
+            # The caller must not wait for an answer that never comes.
+            logger.exception("event=call_failed request={}", request.action)
+            reply = GateReply(Unknown(UnknownReason.LOST_UPSTREAM))
         frame = encode(reply_to_answer(request.request_id, reply))
         try:
             await self._connection.send(frame)
--- a/bamboojunction/platform/http.py
+++ b/bamboojunction/platform/http.py
@@ -26,6 +26,8 @@
 # A watch that gets no answer for this long after its wait counts as hung.
 WATCH_GRACE_SECONDS = 2.0
 CONNECTIONS_MAX = 4
+# A store that does not accept a connection within this time counts as down.
+CONNECT_SECONDS_MAX = 1.0
 # Keep-alive probes end a connection to a silent store after about three seconds.
 PROBE_IDLE_SECONDS = 1
 PROBE_INTERVAL_SECONDS = 1
@@ -181,7 +183,10 @@
         timeout: float | None,
     ) -> Result[Parsed, PlatformError]:
         url = f"http://{address}{path}"
-        limit = aiohttp.ClientTimeout(total=timeout or self._timeout_seconds)
+        limit = aiohttp.ClientTimeout(
+            total=timeout or self._timeout_seconds,
+            sock_connect=min(CONNECT_SECONDS_MAX, self._timeout_seconds),
+        )
         headers = {"Content-Type": "application/json"} if body is not None else None
         try:
             async with self._open_session().request(
--- /dev/null
+++ b/tests/poison/test_pairs.py
@@ -0,0 +1,17 @@
+"""Two requests in flight together at two crashes are refused both."""
+
+import unittest
+
+from bamboojunction.core.poison.guard import PoisonGuard
+
+
+class PairTests(unittest.TestCase):
+    def test_requests_that_crash_together_twice_are_banned_both(self):
+        guard = PoisonGuard("gate-1")
+        for ticket, now in ((1, 10.0), (3, 20.0)):
+            guard.started(ticket, 111, now)
+            guard.started(ticket + 1, 222, now)
+            guard.crashed(ticket, now + 1.0)
+            guard.crashed(ticket + 1, now + 1.0)
+        self.assertTrue(guard.is_banned(111, 22.0))
+        self.assertTrue(guard.is_banned(222, 22.0))
--- /dev/null
+++ b/tests/retries/test_forwarding.py
@@ -0,0 +1,80 @@
+"""A request moves on or is repeated only as far as truth, attempts and the fleet's budget allow."""
+
+import random
+import unittest
+
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Ran, Unknown, UnknownReason
+from bamboojunction.core.retries.fleet_budget import FleetRepeatBudget, RepeatBounds
+from bamboojunction.core.retries.forwarding import MOVES_MAX, Progress, Step, next_step
+from bamboojunction.core.table.rows import Effect, Row
+
+BOUNDS = RepeatBounds(ratio=0.2, slack=48.0, window=10.0)
+
+
+def row(effect=Effect.IDEMPOTENT, retries=1):
+    return Row("k", 0, 1, effect, 1000, retries)
+
+
+def rich_budget():
+    return FleetRepeatBudget(BOUNDS, 0.0)
+
+
+class ForwardingTests(unittest.TestCase):
+    def step(self, outcome, effect=Effect.IDEMPOTENT, progress=None, budget=None, now=10.0):
+        progress = progress or Progress(arrivals=1)
+        return next_step(row(effect), outcome, progress, budget or rich_budget(), 20.0, now)
+
+    def test_answers_are_final(self):
+        self.assertIs(self.step(Ran(200)), Step.ANSWER)
+        self.assertIs(self.step(Ran(404)), Step.ANSWER)
+
+    def test_once_only_work_is_not_repeated_after_it_may_have_run(self):
+        outcomes = (
+            Ran(500),
+            Unknown(UnknownReason.LOST_LINK),
+            Unknown(UnknownReason.LOST_UPSTREAM),
+            Unknown(UnknownReason.TRUNCATED),
+        )
+        for outcome in outcomes:
+            with self.subTest(outcome=outcome):
+                self.assertIs(self.step(outcome, Effect.ONCE), Step.ANSWER)
+                self.assertIs(self.step(outcome), Step.REPEAT)
+
+    def test_refusal_by_a_gate_moves_on_without_the_budget(self):
+        empty = FleetRepeatBudget(BOUNDS, 10.0)
+        for reason in (NotRunReason.FULL, NotRunReason.DRAINING, NotRunReason.UNREACHABLE):
+            step = self.step(NotRun(reason), Effect.ONCE, budget=empty)
+            self.assertIs(step, Step.MOVE_ON)
+
+    def test_refusal_by_an_upstream_costs_a_repeat(self):
+        refusal = NotRun(NotRunReason.UPSTREAM_REFUSED)
+        self.assertIs(self.step(refusal, Effect.ONCE), Step.REPEAT)
+        empty = FleetRepeatBudget(BOUNDS, 10.0)
+        self.assertIs(self.step(refusal, Effect.ONCE, budget=empty), Step.ANSWER)
+
+    def test_moves_attempts_and_time_end(self):
+        full = NotRun(NotRunReason.FULL)
+        self.assertIs(self.step(full, progress=Progress(0, MOVES_MAX)), Step.ANSWER)
+        self.assertIs(self.step(Ran(500), progress=Progress(arrivals=2)), Step.ANSWER)
+        self.assertIs(self.step(Ran(500), now=20.0), Step.ANSWER)
+
+
+class FleetBudgetTests(unittest.TestCase):
+    def test_all_nodes_together_stay_within_the_bound_in_any_window(self):
+        for nodes, requests_each in ((1, 0), (13, 20), (80, 3), (80, 100), (950, 1)):
+            with self.subTest(nodes=nodes):
+                spent = 0
+                rng = random.Random(1)
+                for _ in range(nodes):
+                    budget = FleetRepeatBudget(BOUNDS, 0.0, rng)
+                    budget.nodes = nodes
+                    now = 100.0
+                    for _ in range(requests_each):
+                        now += BOUNDS.window / requests_each
+                        budget.requested(now)
+                        while budget.spend(now):
+                            spent += 1
+                    while budget.spend(100.0 + BOUNDS.window):
+                        spent += 1
+                requests = nodes * requests_each
+                self.assertLessEqual(spent, BOUNDS.ratio * requests + BOUNDS.slack)
