--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -1,4 +1,8 @@
-"""The program bamboo-mesh: the node on the users' platform."""
+"""The program of a node on the users' platform.
+
+The platform passes the path of its settings file and the deploy file's variables; there are no
+arguments.
+"""
 
 import os
 
@@ -17,6 +21,8 @@
 from bamboojunction.platform.machine import FILE_VARIABLE, MachineSettings, read_machine
 
 EXIT_BAD_SETTINGS = 2
+# The port of the metrics, which the deploy file names too; 0 takes any free one.
+METRICS_VARIABLE = "BAMBOO_METRICS_PORT"
 
 
 def load_machine() -> MachineSettings:
@@ -37,7 +43,7 @@
     """Run a node until SIGTERM or SIGINT asks for a graceful stop."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    node = MeshNode(settings)
+    node = MeshNode(settings, int(os.environ.get(METRICS_VARIABLE, "0")))
     loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(load_machine()))
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
--- a/bamboojunction/mesh/face.py
+++ b/bamboojunction/mesh/face.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from urllib.parse import unquote
 
 from result import Err, Ok
@@ -54,21 +54,21 @@
         self.in_flight = 0
         self.is_stopping = False
         self.refuses_callers = False
-        self.metrics: Callable[[], bytes] = lambda: b""
 
     async def __call__(self, scope: dict, receive, send) -> None:
         """Handle one request."""
         port = scope["server"][1]
         if port == self._ports.callers:
             await self._serve_caller(scope, receive, send)
-        elif port == self._ports.ready:
+        elif port in (self._ports.ready, self._ports.metrics):
             await _respond(send, self._describe(scope["path"]))
         else:
             await _respond(send, await self._take_report(scope, receive))
 
     def _describe(self, path: str) -> Answer:
         if path == METRICS_PATH:
-            return Answer(200, (("content-type", "text/plain; version=0.0.4"),), self.metrics())
+            text = self._events.measures.render()
+            return Answer(200, (("content-type", "text/plain; version=0.0.4"),), text)
         if path != requests.READY_PATH:
             return Answer(404, (), b"")
         is_ready = not self.is_stopping and self._holder.routes.version > 0
@@ -108,14 +108,18 @@
             self.in_flight -= 1
         self._events.answered(
             headers.request_id,
-            headers.host,
             scope["path"],
+            self._kind_of(headers, scope["path"]),
             answer.status,
             self._loop.time() - started,
             self._holder.routes.version,
         )
         await _respond(send, answer, self.is_stopping)
 
+    def _kind_of(self, headers: CallerHeaders, path: str) -> str:
+        route = self._holder.routes.find(headers.host, path)
+        return "" if route is None else route.row.kind
+
     async def _answer(self, scope: dict, headers: CallerHeaders, receive, started: float) -> Answer:
         routes = self._holder.routes
         body = await _read_body(receive, routes.body_max_bytes)
@@ -175,11 +179,12 @@
 class FacePorts:
     """Name the ports of a node's face; the rest belongs to the upstream's reports."""
 
-    __slots__ = ("callers", "ready")
+    __slots__ = ("callers", "metrics", "ready")
 
-    def __init__(self, callers: int, ready: int):
+    def __init__(self, callers: int, ready: int, metrics: int):
         self.callers = callers
         self.ready = ready
+        self.metrics = metrics
 
 
 async def _read_body(receive, body_max_bytes: int) -> bytes | None:
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -61,7 +61,7 @@
 class MeshNode:
     """Own the parts of one node; create it inside a running event loop."""
 
-    def __init__(self, settings: MachineSettings):
+    def __init__(self, settings: MachineSettings, metrics_port: int = 0):
         self.settings = settings
         self._loop = asyncio.get_running_loop()
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
@@ -99,6 +99,7 @@
         ports = FacePorts(
             split_address(settings.caller_address)[1],
             split_address(settings.ready_address)[1],
+            metrics_port,
         )
         self.face = Face(
             settings.service,
@@ -115,6 +116,8 @@
             settings.heartbeat_address,
         )
         sockets = [listen(*split_address(address)) for address in addresses]
+        sockets.append(listen(host, metrics_port))
+        self.events.measures.read_state = self._state
         self.server = HttpServer(
             self.face, sockets, http="httptools", timeout_keep_alive=KEEP_ALIVE_SECONDS
         )
@@ -175,6 +178,19 @@
         self.forwarder.bind(bounds, self.events)
         self.events.reloaded(stop_seconds=settings.stop_seconds)
 
+    def _state(self) -> dict[str, float]:
+        report = self.gate.report()
+        return {
+            "configuration_version": self.holder.routes.version,
+            "instances_known": len(self.view.by_instance),
+            "upstream_serving": float(self.neighbour.is_serving),
+            "callers_in_flight": self.face.in_flight,
+            "gate_in_flight": report.in_flight,
+            "gate_queued": report.queued,
+            "gate_limit": report.limit,
+            "upstream_connections_opened": self.pool.opened,
+        }
+
     def _upstream_changed(self, change: Change) -> None:
         latest = self.neighbour.latest
         if change is Change.STARTED:
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -8,19 +8,24 @@
 from bamboojunction.core.retries.forwarding import Step
 from bamboojunction.nodes.replies import GateReply
 from bamboojunction.telemetry.logs import format_pairs
+from bamboojunction.telemetry.measures import Measures
 from bamboojunction.telemetry.output import LineOutput
 
 REPORT_SECONDS = 1.0
 
 
 class EventLog:
-    """Write one line for each decision, and count those that the volume's bound leaves out."""
+    """Write one line for each decision and count it.
 
-    __slots__ = ("_instance", "_loop", "_output")
+    The volume of lines is bounded; what is left out is still counted.
+    """
+
+    __slots__ = ("_instance", "_loop", "_output", "measures")
 
     def __init__(self, instance: str, output: LineOutput):
         self._instance = instance
         self._output = output
+        self.measures = Measures()
         self._loop = asyncio.get_running_loop()
 
     async def report_left_out(self) -> None:
@@ -30,6 +35,7 @@
             self._output.flush()
             if self._output.left_out:
                 lines, self._output.left_out = self._output.left_out, 0
+                self.measures.lines_left_out(lines)
                 self._emit("log.left_out", True, lines=lines)
 
     def started(self, **pairs: object) -> None:
@@ -105,6 +111,7 @@
         budget: float,
     ) -> None:
         """Log how an attempt ended and what follows."""
+        self.measures.attempt_ended(call.service, outcome_text(outcome), step.name.lower())
         self._emit(
             "request.attempt",
             not _is_success(outcome),
@@ -122,6 +129,8 @@
     def served(self, call: Call, reply: GateReply, seconds: float) -> None:
         """Log how this node's gate answered a call."""
         report = reply.report
+        queued = seconds - reply.service_seconds
+        self.measures.served(call.kind, outcome_text(reply.outcome), queued, reply.service_seconds)
         self._emit(
             "gate.served",
             not _is_success(reply.outcome),
@@ -137,15 +146,16 @@
         )
 
     def answered(
-        self, request_id: str, host: str, path: str, status: int, seconds: float, version: int
+        self, request_id: str, path: str, kind: str, status: int, seconds: float, version: int
     ) -> None:
-        """Log the answer to a caller."""
+        """Log the answer to a caller; ``kind`` is empty when no route matches."""
+        self.measures.answered(kind, status, seconds)
         self._emit(
             "request.answered",
             status >= 400,
             id=request_id,
-            host=host,
             path=path,
+            kind=kind,
             status=status,
             ms=seconds * 1000,
             version=version,
