--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -75,6 +75,7 @@
         host, _ = split_address(settings.link_address)
         identity = Identity(settings.instance, self._incarnation, b"")
         self.links = LinkPool(identity, LINK_SETTINGS, host)
+        self.links.is_far = self._is_far
         self.pool = UpstreamPool(settings.upstream_address, CONNECTIONS_UNKNOWN)
         self.neighbour = Neighbour(settings.service)
         self.neighbour.on_change = self._upstream_changed
@@ -121,7 +122,7 @@
         self.server = HttpServer(
             self.face, sockets, http="httptools", timeout_keep_alive=KEEP_ALIVE_SECONDS
         )
-        self._sequence = 0
+        self._far_addresses: frozenset[str] = frozenset()
         self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
@@ -178,6 +179,10 @@
         self.forwarder.bind(bounds, self.events)
         self.events.reloaded(stop_seconds=settings.stop_seconds)
 
+    def _is_far(self, address: str) -> bool:
+        """Return whether the node at a link address is known to be in another data centre."""
+        return address in self._far_addresses
+
     def _state(self) -> dict[str, float]:
         report = self.gate.report()
         return {
@@ -228,6 +233,11 @@
             if name in known:
                 self.view.forget(name)
             self.view.merge(by_instance[name])
+        self._far_addresses = frozenset(
+            entry.address
+            for entry in by_instance.values()
+            if entry.data_centre != self.settings.data_centre
+        )
         self.forwarder.nodes = max(1, len(by_instance))
         for service in self.view.take_changed_services():
             self.router.update(service, self.view.serving(service))
--- a/bamboojunction/nodes/links.py
+++ b/bamboojunction/nodes/links.py
@@ -2,16 +2,26 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
+from websockets.extensions.permessage_deflate import ClientPerMessageDeflateFactory
 
 from bamboojunction.conf.settings import LinkSettings
 from bamboojunction.nodes.codec import decode, encode
 from bamboojunction.nodes.handshake import Identity, is_proof, new_nonce, prove
 from bamboojunction.nodes.link import Handlers, Link, LinkFailure, MessageHandler
 from bamboojunction.nodes.messages import AnyMessage, CallAnswer, Hello, SealAnswer
-
+from bamboojunction.nodes.server import COMPRESS_SETTINGS
+
+# A window of 4 KB holds the headers of the last few messages; larger ones cost memory on each link.
+FAR_WINDOW_BITS = 12
+FAR_COMPRESSION = ClientPerMessageDeflateFactory(
+    server_max_window_bits=FAR_WINDOW_BITS,
+    client_max_window_bits=FAR_WINDOW_BITS,
+    compress_settings=COMPRESS_SETTINGS,
+)
 # After a failed opening, requests to the address fail at once for this long.
 REOPEN_DELAY_SECONDS = 0.2
 
@@ -30,6 +40,7 @@
         "_settings",
         "_source_host",
         "_tasks",
+        "is_far",
     )
 
     def __init__(self, identity: Identity, settings: LinkSettings, source_host: str):
@@ -42,6 +53,8 @@
         self._failed_at: dict[str, float] = {}
         self._ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
+        # Messages to far nodes are compressed, as bytes between data centres cost more than time.
+        self.is_far: Callable[[str], bool] = lambda address: False
         self._loop = asyncio.get_running_loop()
 
     def on_message(self, message_type: type, handler: MessageHandler) -> None:
@@ -139,6 +152,7 @@
         connection = await connect(
             f"ws://{address}/",
             compression=None,
+            extensions=[FAR_COMPRESSION] if self.is_far(address) else None,
             ping_interval=None,
             proxy=None,
             local_addr=(self._source_host, 0),
--- a/bamboojunction/nodes/server.py
+++ b/bamboojunction/nodes/server.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
+from websockets.extensions.permessage_deflate import ServerPerMessageDeflateFactory
 
 from bamboojunction.conf.settings import LinkSettings
 from bamboojunction.core.outcomes import Unknown, UnknownReason
@@ -24,6 +25,7 @@
 )
 from bamboojunction.nodes.replies import GateReply
 
+COMPRESS_SETTINGS = {"memLevel": 5, "level": 3}
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
 
 CallHandler = Callable[[CallRequest], Awaitable[GateReply]]
@@ -119,6 +121,8 @@
             host,
             port,
             compression=None,
+            # Used on the links whose opener asks for it.
+            extensions=[ServerPerMessageDeflateFactory(compress_settings=COMPRESS_SETTINGS)],
             ping_interval=None,
             max_size=self._settings.frame_max_bytes,
         )
