--- a/bamboojunction/core/calls.py
+++ b/bamboojunction/core/calls.py
@@ -12,7 +12,8 @@
     empty; ``attempt`` numbers the attempts of a keyed call and is set by its home, as is ``gate``,
     the only gate incarnation that may run the attempt. ``caller`` is the service beside the node
     where the call entered; ``aim`` is the time in seconds within which an answer is as good as an
-    earlier one, known where the call entered only.
+    earlier one, known where the call entered only. ``root`` is the action of the call at the top of
+    the chain and ``rank`` the one that the chain inherits from it, where they are known.
     """
 
     action: str
@@ -31,3 +32,5 @@
     gate: str = ""
     caller: str = ""
     aim: float = 0.0
+    root: str = ""
+    rank: int | None = None
--- a/bamboojunction/core/table/rows.py
+++ b/bamboojunction/core/table/rows.py
@@ -48,6 +48,15 @@
 )
 
 
+# The shares of contended slots that ranks keep by default halve from each rank to the next.
+WEIGHT_OF_RANK_0 = 64
+
+
+def weight_of(rank: int) -> int:
+    """Return the weight of a rank for which no table names one."""
+    return max(1, WEIGHT_OF_RANK_0 >> rank)
+
+
 def row_for(table: Table, kind: str) -> Row:
     """Return the row of a kind, or the default row."""
     return table.by_kind.get(kind, DEFAULT_ROW)
--- a/bamboojunction/mesh/face.py
+++ b/bamboojunction/mesh/face.py
@@ -129,7 +129,8 @@
         if not routes.version:
             refusal = NotRun(NotRunReason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_AFTER_SECONDS)
             return requests.answer_of(refusal, headers.request_id)
-        is_client = self._gate.parent_of(headers.request_id) is None
+        parent = self._gate.parent_of(headers.request_id)
+        is_client = parent is None
         if self.refuses_callers and is_client:
             refusal = NotRun(NotRunReason.DRAINING, STOPPING_RETRY_AFTER_SECONDS)
             return requests.answer_of(refusal, headers.request_id)
@@ -137,7 +138,10 @@
         if route is None:
             return requests.error_answer(404, "no-route", headers.request_id)
         call = self._call(scope, headers, route, body, started)
-        call.depth = 0 if is_client else 1
+        if parent is None:
+            call.root, call.rank = call.action, route.row.rank
+        else:
+            call.root, call.rank, call.depth = parent.root, parent.rank, parent.depth + 1
         if is_client:
             self._forwarder.budget(call.service).requested(started)
         outcome = await self._watched(self._forwarder.route(call, route.row), receive)
--- a/bamboojunction/mesh/forwarding.py
+++ b/bamboojunction/mesh/forwarding.py
@@ -1,8 +1,11 @@
 """Forwarding of requests to gates, with the moves and repeats that the rules allow."""
 
 import asyncio
+from collections.abc import Callable
 
+from bamboojunction.core.admission.reach import Reach
 from bamboojunction.core.calls import Call
+from bamboojunction.core.load import LoadReport
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
 from bamboojunction.core.retries.fleet_budget import FleetRepeatBudget, RepeatBounds
 from bamboojunction.core.retries.forwarding import FREE_REASONS, Progress, Step, next_step
@@ -15,7 +18,7 @@
 class Forwarder(CallRouter):
     """Route requests to gates until one answers or no other may be asked."""
 
-    __slots__ = ("_bounds", "_budget_by_service", "_events", "nodes")
+    __slots__ = ("_bounds", "_budget_by_service", "_events", "nodes", "parent_kind_of", "reach")
 
     def bind(self, bounds: RepeatBounds, events: EventLog) -> None:
         """Name the fleet's bound of repeats and where decisions are logged."""
@@ -23,6 +26,13 @@
         self._events = events
         self._budget_by_service: dict[str, FleetRepeatBudget] = {}
         self.nodes = 1
+        self.reach = Reach()
+        self.parent_kind_of: Callable[[str], str | None] = lambda request_id: None
+
+    def rebind(self, bounds: RepeatBounds) -> None:
+        """Take a new bound of repeats."""
+        self._bounds = bounds
+        self._budget_by_service.clear()
 
     def budget(self, service: str) -> FleetRepeatBudget:
         """Return this node's budget of repeats at a service."""
@@ -56,6 +66,19 @@
                 # Lets the loop learn what other requests find before the next choice.
                 await asyncio.sleep(0)
 
+    def _refusal_at_edge(self, call: Call, row: Row, now: float) -> NotRun | None:
+        """Refuse a new call that a service would shed which its kind reaches."""
+        if call.depth:
+            return None
+        rank = row.rank if call.rank is None else call.rank
+        services = self.reach.services(call.kind)
+        return self._edge.refusal(services, rank, call.root or call.action, now)
+
+    def _learn(self, call: Call, instance: str, report: LoadReport, now: float) -> None:
+        super()._learn(call, instance, report, now)
+        parent = self.parent_kind_of(call.action) if call.depth else None
+        self.reach.learn(call.kind, call.service, report, parent)
+
 
 def _is_unsent(outcome: Outcome) -> bool:
     return isinstance(outcome, NotRun) and outcome.reason is NotRunReason.UNREACHABLE
--- a/bamboojunction/mesh/gate.py
+++ b/bamboojunction/mesh/gate.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 from bamboojunction.core.admission.gate import Admission, ServiceEnd, Ticket
+from bamboojunction.core.admission.reach import Reach
 from bamboojunction.core.calls import Call
+from bamboojunction.core.load import LoadReport
 from bamboojunction.core.outcomes import (
     NotRun,
     NotRunReason,
@@ -14,7 +17,7 @@
     UnknownReason,
 )
 from bamboojunction.core.routes import RouteHolder
-from bamboojunction.core.table.rows import Effect
+from bamboojunction.core.table.rows import Effect, Row, weight_of
 from bamboojunction.mesh.neighbour import Neighbour
 from bamboojunction.node.contexts import RunningCall
 from bamboojunction.node.serving import GateService
@@ -87,7 +90,7 @@
 class MeshGate(GateService):
     """Serve calls at the upstream that the neighbour's heartbeats describe."""
 
-    __slots__ = ("_is_stopping", "_neighbour", "_running_ids", "_service", "events")
+    __slots__ = ("_is_stopping", "_neighbour", "_running_ids", "_service", "events", "reach")
 
     def bind(self, neighbour: Neighbour, service: str, events: EventLog) -> None:
         """Name the upstream's state, the service that calls must name and the log."""
@@ -96,6 +99,7 @@
         self._is_stopping = False
         self._running_ids: dict[str, Call] = {}
         self.events = events
+        self.reach = Reach()
 
     def parent_of(self, request_id: str) -> Call | None:
         """Return the running call whose upstream sent a request, by the id that it derived."""
@@ -114,6 +118,9 @@
     async def _serve(self, call: Call) -> GateReply:
         started = self._loop.time()
         reply = await self._serve_or_refuse(call)
+        if self._is_stopping and isinstance(reply.outcome, NotRun):
+            # The upstream stays; peers try again soon whether the next process is there.
+            reply = self._refused(call, NotRun(NotRunReason.UNREACHABLE))
         self.events.served(call, reply, self._loop.time() - started)
         return reply
 
@@ -124,6 +131,19 @@
             return self._refused(call, NotRun(NotRunReason.DRAINING))
         return await self._serve_admitted(call, hash(call.action), False)
 
+    def _ticket(self, call: Call, row: Row) -> Ticket:
+        """Rank a call as the one at the top of its chain, so that a chain is shed as a whole."""
+        ticket = super()._ticket(call, row)
+        ticket.action = call.root or call.action
+        if call.rank is not None:
+            ticket.rank = call.rank
+            ticket.weight = weight_of(call.rank)
+        return ticket
+
+    def _report_to(self, call: Call) -> LoadReport:
+        below = self.edge.export(self.reach.services(call.kind), self._loop.time())
+        return replace(self.report(), below=below, draining=False)
+
     async def _run(self, ticket: Ticket, call: Call, fingerprint: int) -> GateReply:
         self._running_ids[call.action] = call
         try:
--- /dev/null
+++ b/bamboojunction/mesh/peers.py
@@ -0,0 +1,74 @@
+"""News between nodes: a node that has just started hears from peers what the store would tell.
+
+While the store is down or turns a node away, peers that open a link to it are its only source of
+the configuration and of the announcements.
+"""
+
+import msgspec
+from result import Err, Ok
+
+from bamboojunction.core.membership.messages import News
+from bamboojunction.mesh.registry import Registry
+from bamboojunction.nodes.exchange_wire import from_wire, to_wire
+from bamboojunction.nodes.links import LinkPool
+from bamboojunction.nodes.messages import AnyMessage, Digest, TableRequest, TableUpdate, ViewDelta
+from bamboojunction.platform import configuration
+from bamboojunction.telemetry.events import EventLog
+
+
+class PeerNews:
+    """Tell a peer the version in force when a link opens, and send it what it asks for."""
+
+    def __init__(self, own_address: str, registry: Registry, links: LinkPool, events: EventLog):
+        self._own_address = own_address
+        self._registry = registry
+        self._links = links
+        self._events = events
+        links.on_open = self._greet
+        handlers = {
+            Digest: self._compare,
+            TableRequest: self._send_all,
+            TableUpdate: self._take_configuration,
+            ViewDelta: self._take_announcements,
+        }
+        for message_type, handler in handlers.items():
+            links.on_message(message_type, handler)
+
+    def _greet(self, address: str) -> None:
+        version = self._registry.routes_version
+        if version:
+            self._links.send(address, Digest(version, 0, self._own_address))
+
+    def _compare(self, peer: str, message: AnyMessage) -> None:
+        """Ask a peer that knows a newer configuration for all that it knows."""
+        if message.table_version > self._registry.routes_version:
+            request = TableRequest(self._registry.routes_version, self._own_address)
+            self._links.send(message.address, request)
+
+    def _send_all(self, peer: str, message: AnyMessage) -> None:
+        value = self._registry.routes_value
+        if value is None or not message.address:
+            return
+        text = msgspec.json.encode(value).decode()
+        update = TableUpdate(self._registry.routes_version, "", text)
+        self._links.send(message.address, update)
+        self._links.send(message.address, to_wire(News(self._registry.known())))
+
+    def _take_configuration(self, peer: str, message: AnyMessage) -> None:
+        try:
+            value = msgspec.json.decode(message.text, type=dict)
+        except msgspec.DecodeError as error:
+            self._events.configuration_refused(message.version, f"from {peer}: {error}")
+            return
+        match configuration.read_routes(value):
+            case Ok(routes):
+                self._registry.offer_routes(routes, value, peer)
+            case Err(problem):
+                self._events.configuration_refused(message.version, f"from {peer}: {problem}")
+
+    def _take_announcements(self, peer: str, message: AnyMessage) -> None:
+        match from_wire(message):
+            case Ok(News(entries)):
+                self._registry.offer_instances(list(entries))
+            case Err(problem):
+                self._events.announcement_refused(f"from {peer}: {problem}")
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -19,6 +19,7 @@
 from bamboojunction.mesh.forwarding import Forwarder
 from bamboojunction.mesh.gate import MeshGate, UpstreamSender
 from bamboojunction.mesh.neighbour import Change, Neighbour
+from bamboojunction.mesh.peers import PeerNews
 from bamboojunction.mesh.registry import Registry
 from bamboojunction.node.contexts import RunningCalls
 from bamboojunction.nodes.convert import request_to_call
@@ -64,6 +65,8 @@
     def __init__(self, settings: MachineSettings, metrics_port: int = 0):
         self.settings = settings
         self._loop = asyncio.get_running_loop()
+        # Upstreams that this process has seen start; each is an incarnation of its own to peers.
+        self._starts = 0
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.events = EventLog(
             settings.instance, LineOutput(sys.stdout.fileno(), self._loop.time())
@@ -90,10 +93,13 @@
         )
         bounds = RepeatBounds(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window)
         self.forwarder.bind(bounds, self.events)
+        self.forwarder.reach = self.gate.reach
+        self.forwarder.parent_kind_of = self._parent_kind_of
         client = HttpPlatformClient([settings.store_address], STORE_TIMEOUT_SECONDS)
         self.registry = Registry(client, self.holder, random.Random(), self.events)
         self.registry.own_name = settings.instance
         self.registry.on_instances = self._instances_changed
+        self.peers = PeerNews(settings.link_address, self.registry, self.links, self.events)
         self.link_server = LinkServer(
             identity, LINK_SETTINGS, self._serve_request, _refuse_seal, self.links.handlers
         )
@@ -144,7 +150,6 @@
         self.events.stopping(in_flight=self.face.in_flight)
         self.face.is_stopping = True
         self.gate.stop()
-        self.registry.announce(None)
         while self._loop.time() < end:
             is_left = self._loop.time() - began >= CALLERS_LEAVE_SECONDS
             if self._loop.time() - began >= REFUSE_SECONDS:
@@ -176,9 +181,13 @@
         """Take the settings that may change while the node runs."""
         self.settings = settings
         bounds = RepeatBounds(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window)
-        self.forwarder.bind(bounds, self.events)
+        self.forwarder.rebind(bounds)
         self.events.reloaded(stop_seconds=settings.stop_seconds)
 
+    def _parent_kind_of(self, request_id: str) -> str | None:
+        parent = self.gate.parent_of(request_id)
+        return None if parent is None else parent.kind
+
     def _is_far(self, address: str) -> bool:
         """Return whether the node at a link address is known to be in another data centre."""
         return address in self._far_addresses
@@ -199,6 +208,7 @@
     def _upstream_changed(self, change: Change) -> None:
         latest = self.neighbour.latest
         if change is Change.STARTED:
+            self._starts += 1
             self.pool.close()
             self.gate.resize(latest.slots)
         elif change in (Change.DRAINING, Change.GONE):
@@ -207,12 +217,12 @@
 
     def _announcement(self) -> Announcement | None:
         """Return what other nodes may know of the upstream, None when it takes no calls."""
-        if not self.neighbour.is_serving or self.face.is_stopping:
+        if not self.neighbour.is_serving:
             return None
         settings = self.settings
         return Announcement(
             instance=settings.instance,
-            incarnation=f"{self._incarnation}/{self.neighbour.instance_id}",
+            incarnation=f"{self._incarnation}/{self._starts}",
             service=settings.service,
             data_centre=settings.data_centre,
             region=settings.region,
--- a/bamboojunction/mesh/registry.py
+++ b/bamboojunction/mesh/registry.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from bamboojunction.core.membership.view import COLLECTION, Announcement, InstanceState
-from bamboojunction.core.routes import RouteHolder
+from bamboojunction.core.routes import RouteHolder, Routes
 from bamboojunction.platform import configuration
 from bamboojunction.platform.client import (
     ObjectList,
@@ -101,6 +101,8 @@
         self._version_by_instance: dict[str, int] = {}
         self.on_instances: Callable[[dict[str, Announcement]], None] = lambda by_instance: None
         self.own_name = ""
+        self.routes_value: dict | None = None
+        self._has_listed = False
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -121,6 +123,28 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._client.close()
 
+    @property
+    def routes_version(self) -> int:
+        """Return the version of the configuration in force, 0 when there is none."""
+        return self._holder.routes.version
+
+    def offer_routes(self, routes: Routes, value: dict, source: str) -> None:
+        """Put a configuration in force if it is newer; ``value`` is what it was read from."""
+        if self._holder.offer(routes):
+            self.routes_value = value
+            self._events.configuration_in_force(routes.version, source)
+
+    def known(self) -> list[Announcement]:
+        """Return the announcements that this node knows."""
+        return list(self._by_instance.values())
+
+    def offer_instances(self, entries: list[Announcement]) -> None:
+        """Take announcements that a peer knows, unless the store has told this node its own."""
+        if self._has_listed:
+            return
+        self._by_instance.update((entry.instance, entry) for entry in entries)
+        self.on_instances(without_superseded(self._by_instance))
+
     def announce(self, announcement: Announcement | None) -> None:
         """Set what the store should hold of this node; None removes it."""
         self._wanted = announcement
@@ -181,8 +205,7 @@
                 continue
             match configuration.read_routes(item.value):
                 case Ok(routes):
-                    if self._holder.offer(routes):
-                        self._events.configuration_in_force(routes.version)
+                    self.offer_routes(routes, item.value, "store")
                 case Err(problem):
                     self._events.configuration_refused(item.version, problem)
 
@@ -190,6 +213,7 @@
         self, objects: list[PlatformObject], deleted: list[str], whole: bool
     ) -> None:
         if whole:
+            self._has_listed = True
             self._by_instance.clear()
         for name in deleted:
             self._by_instance.pop(name, None)
--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -6,6 +6,7 @@
 
 from bamboojunction.core.admission.edge import EdgeLevels
 from bamboojunction.core.calls import Call
+from bamboojunction.core.load import LoadReport
 from bamboojunction.core.membership.view import MembershipView
 from bamboojunction.core.outcomes import (
     NotRun,
@@ -192,5 +193,9 @@
             )
             self._router.ended(end, now)
             if reply.report is not None:
-                self._edge.learn(call.service, instance, reply.report, now, call.depth)
+                self._learn(call, instance, reply.report, now)
         return reply.outcome
+
+    def _learn(self, call: Call, instance: str, report: LoadReport, now: float) -> None:
+        """Take in the load report of an answer."""
+        self._edge.learn(call.service, instance, report, now, call.depth)
--- a/bamboojunction/nodes/convert.py
+++ b/bamboojunction/nodes/convert.py
@@ -45,6 +45,8 @@
         call.traceparent,
         call.gate,
         call.caller,
+        call.root,
+        call.rank,
     )
 
 
@@ -66,6 +68,8 @@
         traceparent=request.traceparent,
         gate=request.gate,
         caller=request.caller,
+        root=request.root,
+        rank=request.rank,
     )
 
 
--- a/bamboojunction/nodes/links.py
+++ b/bamboojunction/nodes/links.py
@@ -41,6 +41,7 @@
         "_source_host",
         "_tasks",
         "is_far",
+        "on_open",
     )
 
     def __init__(self, identity: Identity, settings: LinkSettings, source_host: str):
@@ -55,6 +56,7 @@
         self._tasks: set[asyncio.Task] = set()
         # Messages to far nodes are compressed, as bytes between data centres cost more than time.
         self.is_far: Callable[[str], bool] = lambda address: False
+        self.on_open: Callable[[str], None] = lambda address: None
         self._loop = asyncio.get_running_loop()
 
     def on_message(self, message_type: type, handler: MessageHandler) -> None:
@@ -146,6 +148,7 @@
             return None
         self._failed_at.pop(address, None)
         self._by_address[address] = link
+        self.on_open(address)
         return link
 
     async def _shake_hands(self, address: str) -> Link | None:
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -60,6 +60,8 @@
     traceparent: str
     gate: str = ""
     caller: str = ""
+    root: str = ""
+    rank: int | None = None
 
 
 class Load(Message):
@@ -214,9 +216,13 @@
 
 
 class TableRequest(Message, tag=23):
-    """Ask for the whole table; ``version`` is the one that the sender holds."""
+    """Ask for the whole table; ``version`` is the one that the sender holds.
+
+    ``address`` is where the answer goes when the receiver may not know the sender.
+    """
 
     version: int
+    address: str = ""
 
 
 class Silence(Message, tag=24):
--- a/bamboojunction/nodes/server.py
+++ b/bamboojunction/nodes/server.py
@@ -127,6 +127,11 @@
             max_size=self._settings.frame_max_bytes,
         )
 
+    @property
+    def port(self) -> int:
+        """Return the port that the listener has."""
+        return self._server.sockets[0].getsockname()[1]
+
     async def close(self) -> None:
         """Close the listener and all incoming links."""
         if self._server is not None:
--- a/bamboojunction/platform/configuration.py
+++ b/bamboojunction/platform/configuration.py
@@ -4,13 +4,11 @@
 from result import Err, Ok, Result
 
 from bamboojunction.core.routes import Part, Route, Routes
-from bamboojunction.core.table.rows import Effect, Row
+from bamboojunction.core.table.rows import Effect, Row, weight_of
 
 KIND = "config"
 NAME = "main"
 EFFECT_BY_KIND = {"idempotent": Effect.IDEMPOTENT, "non_idempotent": Effect.ONCE}
-# The shares of contended slots that ranks keep halve from each rank to the next.
-WEIGHT_OF_RANK_0 = 64
 
 
 class _Part(msgspec.Struct):
@@ -72,7 +70,7 @@
     row = Row(
         kind=path.name,
         rank=path.priority,
-        weight=max(1, WEIGHT_OF_RANK_0 >> path.priority),
+        weight=weight_of(path.priority),
         effect=EFFECT_BY_KIND[path.kind],
         deadline_ms=path.timeout_ms,
         retries=max(0, path.attempts - 1),
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -71,9 +71,9 @@
         """Log a write of the announcement that failed."""
         self._emit("store.announce_failed", True, detail=detail)
 
-    def configuration_in_force(self, version: int) -> None:
-        """Log the version of the configuration in force."""
-        self._emit("configuration.in_force", True, version=version)
+    def configuration_in_force(self, version: int, source: str) -> None:
+        """Log the version of the configuration in force, and who told it."""
+        self._emit("configuration.in_force", True, version=version, source=source)
 
     def configuration_refused(self, revision: int, problem: str) -> None:
         """Log a configuration that cannot be used."""
--- /dev/null
+++ b/tests/admission/test_reach.py
@@ -0,0 +1,25 @@
+"""Kinds of work are known by the services that their chains reach."""
+
+import unittest
+
+from bamboojunction.core.admission.reach import KINDS_MAX, Reach
+from bamboojunction.core.load import AdmissionLevel, LoadReport, RankShare, ServiceLevel
+
+
+class ReachTests(unittest.TestCase):
+    def test_parent_reaches_what_its_child_calls_reach(self):
+        reach = Reach()
+        level = AdmissionLevel((RankShare(1, 0.5),))
+        report = LoadReport(below=(ServiceLevel("stock", level),))
+        reach.learn("route", "dispatch", report, "menu")
+        reach.learn("menu", "catalogue", None, None)
+        self.assertEqual(reach.services("route"), ("dispatch", "stock"))
+        self.assertEqual(set(reach.services("menu")), {"catalogue", "dispatch", "stock"})
+        self.assertEqual(reach.services("other"), ())
+
+    def test_memory_is_bounded(self):
+        reach = Reach()
+        for number in range(KINDS_MAX + 10):
+            reach.learn(f"kind-{number}", "s", None, None)
+        self.assertEqual(reach.services("kind-0"), ())
+        self.assertEqual(reach.services(f"kind-{KINDS_MAX + 9}"), ("s",))
--- /dev/null
+++ b/tests/mesh/test_peers.py
@@ -0,0 +1,81 @@
+"""A node without the store learns configuration and announcements from a peer that calls it."""
+
+import asyncio
+import random
+import unittest
+from tempfile import TemporaryFile
+
+from bamboojunction.conf.settings import LinkSettings
+from bamboojunction.core.membership.view import Announcement
+from bamboojunction.core.routes import RouteHolder
+from bamboojunction.mesh.peers import PeerNews
+from bamboojunction.mesh.registry import Registry
+from bamboojunction.nodes.handshake import Identity
+from bamboojunction.nodes.links import LinkPool
+from bamboojunction.nodes.messages import Heartbeat
+from bamboojunction.nodes.server import LinkServer
+from bamboojunction.platform.configuration import read_routes
+from bamboojunction.platform.http import HttpPlatformClient
+from bamboojunction.telemetry.events import EventLog
+from bamboojunction.telemetry.output import LineOutput
+
+CONFIGURATION = {"version": 7, "vhosts": [{"host": "h.example", "paths": []}]}
+
+
+class Peer:
+    def __init__(self, name: str, host: str, output: LineOutput):
+        identity = Identity(name, "1", b"")
+        self.address = f"{host}:0"
+        self.host = host
+        self.holder = RouteHolder()
+        self.links = LinkPool(identity, LinkSettings(), host)
+        events = EventLog(name, output)
+        client = HttpPlatformClient([], 1.0)
+        self.registry = Registry(client, self.holder, random.Random(1), events)
+        self.server = LinkServer(identity, LinkSettings(), None, None, self.links.handlers)
+        self.events = events
+
+    async def start(self) -> None:
+        await self.server.start(self.host, 0)
+        port = self.server.port
+        self.address = f"{self.host}:{port}"
+        self.news = PeerNews(self.address, self.registry, self.links, self.events)
+
+    async def close(self) -> None:
+        await self.links.close()
+        await self.server.close()
+
+
+class PeerNewsTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        output = self.enterContext(TemporaryFile())
+        lines = LineOutput(output.fileno(), 0.0)
+        self.old = Peer("old", "127.0.0.1", lines)
+        self.new = Peer("new", "127.0.0.2", lines)
+        for peer in (self.old, self.new):
+            await peer.start()
+            self.addAsyncCleanup(peer.close)
+
+    async def wait_until(self, holds) -> None:
+        async with asyncio.timeout(5.0):
+            while not holds():
+                await asyncio.sleep(0.01)
+
+    async def test_opened_link_brings_configuration_and_announcements(self):
+        entry = Announcement("up-1", "1", "menu", "lac", "nord", "127.0.0.9:1", 5.0)
+        self.old.registry.offer_routes(read_routes(CONFIGURATION).unwrap(), CONFIGURATION, "test")
+        self.old.registry.offer_instances([entry])
+        self.old.links.send(self.new.address, self.hello())
+        await self.wait_until(lambda: self.new.holder.routes.version == 7)
+        await self.wait_until(lambda: self.new.registry.known() == [entry])
+
+    async def test_older_configuration_of_a_peer_changes_nothing(self):
+        newer = {**CONFIGURATION, "version": 9}
+        self.new.registry.offer_routes(read_routes(newer).unwrap(), newer, "test")
+        self.old.registry.offer_routes(read_routes(CONFIGURATION).unwrap(), CONFIGURATION, "test")
+        self.new.links.send(self.old.address, self.hello())
+        await self.wait_until(lambda: self.old.holder.routes.version == 9)
+        self.assertEqual(self.new.holder.routes.version, 9)
+
+    def hello(self):
+        return Heartbeat(1, True)
