--- /dev/null
+++ b/bamboojunction/management/commands/explain.py
@@ -0,0 +1,62 @@
+"""The program bamboo-explain: tells from logs why a request ended as it did."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from bamboojunction.management.application import SingleCommandApplication
+from bamboojunction.operators.explain import read_course
+
+EXIT_OK = 0
+EXIT_UNREADABLE = 2
+EXIT_UNKNOWN = 4
+HELP = """Reads the logs of any number of nodes, prints the lines of one request and of the calls
+that it caused in the order of their times, and names the decision that ended it.
+
+Exit codes: 0 the request was found; 2 a file cannot be read; 4 no line names the request."""
+
+
+class ExplainCommand(Command):
+    """Explain how one request ended."""
+
+    name = "bamboo-explain"
+    description = "Explain from logs how one request ended"
+    help = HELP
+    arguments = [
+        argument("id", "Id of the request"),
+        argument("logs", "Files with the logs of nodes", multiple=True),
+    ]
+    options = [option("cause", None, "Print the cause only", flag=True)]
+
+    def handle(self) -> int:
+        """Print the request's lines and its cause."""
+        try:
+            course = read_course(self.argument("id"), _lines(self.argument("logs")))
+        except OSError as error:
+            self.line_error(str(error))
+            return EXIT_UNREADABLE
+        if not course.entries:
+            self.line_error(f"no line names {self.argument('id')}")
+            return EXIT_UNKNOWN
+        if not self.option("cause"):
+            for entry in course.entries:
+                self.line(entry.render())
+        self.line(f"cause: {course.cause()}")
+        return EXIT_OK
+
+
+def _lines(names: list[str]) -> Iterator[str]:
+    for name in names:
+        with Path(name).open(errors="replace") as file:
+            yield from file
+
+
+def main() -> None:
+    """Run the command line."""
+    SingleCommandApplication(ExplainCommand()).run_arguments()
+
+
+if __name__ == "__main__":
+    main()
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import time
 
 from bamboojunction.core.calls import Call
 from bamboojunction.core.outcomes import NotRun, Outcome, Ran, Unknown
@@ -169,7 +170,8 @@
         now = self._loop.time()
         if not self._output.admits(now, is_important):
             return
-        line = format_pairs({"event": event, "at": now, "node": self._instance, **pairs})
+        moment = f"{time.time():.3f}"
+        line = format_pairs({"time": moment, "event": event, "node": self._instance, **pairs})
         self._output.write(f"{line}\n")
 
 
--- /dev/null
+++ b/tests/operators/test_explain.py
@@ -0,0 +1,38 @@
+"""The cause of a failed request is named from the lines of several nodes."""
+
+import unittest
+
+from bamboojunction.operators.explain import read_course
+
+LINES = """
+noise
+time=10.500 event=request.answered node=a id=r1 path=/x kind=k status=500 ms=500 version=3
+time=10.100 event=gate.served node=c id=r1.1 kind=j outcome=not-run:full queued=9 running=4 limit=4
+time=10.000 event=request.attempt node=a id=r10 kind=k outcome=ran:200 instance=b
+time=10.490 event=request.attempt node=a id=r1 kind=k service=s instance=b outcome=ran:500 step=x
+time=10.110 event=request.attempt node=b id=r1.1 kind=j service=t instance=c outcome=not-run:full
+time=11.000 event=request.answered node=a id=r2 path=/y kind="" status=404 ms=1 version=3
+time=12.000 event=request.attempt node=a id=r3 service=s instance=b outcome=unknown:lost-link
+time=12.001 event=request.answered node=a id=r3 path=/x kind=k status=502 ms=1 version=3
+time=13.000 event=request.cancelled node=a id=r4 ms=3
+""".splitlines()
+
+
+class ExplainTests(unittest.TestCase):
+    def cause(self, request_id: str) -> str:
+        return read_course(request_id, LINES).cause()
+
+    def test_failed_call_below_is_the_cause(self):
+        cause = self.cause("r1")
+        self.assertIn("gate c said not-run:full", cause)
+        self.assertIn("limit=4", cause)
+
+    def test_lines_are_in_order_and_of_this_request_only(self):
+        course = read_course("r1", LINES)
+        self.assertEqual([entry.time for entry in course.entries], [10.1, 10.11, 10.49, 10.5])
+
+    def test_other_causes_are_named(self):
+        self.assertIn("no route of version 3", self.cause("r2"))
+        self.assertIn("unknown:lost-link at b", self.cause("r3"))
+        self.assertIn("went away", self.cause("r4"))
+        self.assertIn("no line says", self.cause("r5"))
