--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -43,7 +43,7 @@
     """Run a node until SIGTERM or SIGINT asks for a graceful stop."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    node = MeshNode(settings, int(os.environ.get(METRICS_VARIABLE, "0")))
+    node = MeshNode(settings, sys.stdout.fileno(), int(os.environ.get(METRICS_VARIABLE, "0")))
     loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(load_machine()))
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
--- a/bamboojunction/mesh/peers.py
+++ b/bamboojunction/mesh/peers.py
@@ -4,6 +4,8 @@
 the configuration and of the announcements.
 """
 
+from collections.abc import Callable
+
 import msgspec
 from result import Err, Ok
 
@@ -25,6 +27,7 @@
         self._links = links
         self._events = events
         links.on_open = self._greet
+        self.on_reached: Callable[[str], None] = lambda address: None
         handlers = {
             Digest: self._compare,
             TableRequest: self._send_all,
@@ -35,6 +38,7 @@
             links.on_message(message_type, handler)
 
     def _greet(self, address: str) -> None:
+        self.on_reached(address)
         version = self._registry.routes_version
         if version:
             self._links.send(address, Digest(version, 0, self._own_address))
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -3,13 +3,13 @@
 import asyncio
 import random
 import secrets
-import sys
 import time
 
 from bamboojunction.callers.server import HttpServer, listen
 from bamboojunction.conf.settings import LinkSettings
 from bamboojunction.core.admission.gate import Admission
 from bamboojunction.core.clock import TICK_SECONDS, PauseDetector
+from bamboojunction.core.membership.absence import Absence
 from bamboojunction.core.membership.view import Announcement, InstanceState, MembershipView
 from bamboojunction.core.poison.guard import PoisonGuard
 from bamboojunction.core.retries.fleet_budget import RepeatBounds
@@ -62,15 +62,13 @@
 class MeshNode:
     """Own the parts of one node; create it inside a running event loop."""
 
-    def __init__(self, settings: MachineSettings, metrics_port: int = 0):
+    def __init__(self, settings: MachineSettings, log_descriptor: int, metrics_port: int = 0):
         self.settings = settings
         self._loop = asyncio.get_running_loop()
         # Upstreams that this process has seen start; each is an incarnation of its own to peers.
         self._starts = 0
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
-        self.events = EventLog(
-            settings.instance, LineOutput(sys.stdout.fileno(), self._loop.time())
-        )
+        self.events = EventLog(settings.instance, LineOutput(log_descriptor, self._loop.time()))
         self.holder = RouteHolder()
         self.view = MembershipView()
         self.router = Router.from_config(settings)
@@ -79,6 +77,8 @@
         identity = Identity(settings.instance, self._incarnation, b"")
         self.links = LinkPool(identity, LINK_SETTINGS, host)
         self.links.is_far = self._is_far
+        self._absence = Absence()
+        self.links.on_failure = lambda address: self._absence.failed(address, self._loop.time())
         self.pool = UpstreamPool(settings.upstream_address, CONNECTIONS_UNKNOWN)
         self.neighbour = Neighbour(settings.service)
         self.neighbour.on_change = self._upstream_changed
@@ -100,6 +100,7 @@
         self.registry.own_name = settings.instance
         self.registry.on_instances = self._instances_changed
         self.peers = PeerNews(settings.link_address, self.registry, self.links, self.events)
+        self.peers.on_reached = self._absence.opened
         self.link_server = LinkServer(
             identity, LINK_SETTINGS, self._serve_request, _refuse_seal, self.links.handlers
         )
@@ -140,6 +141,9 @@
             asyncio.create_task(self.links.close_idle()),
             asyncio.create_task(self._watch_pauses()),
             asyncio.create_task(self.events.report_left_out()),
+            asyncio.create_task(
+                self.registry.remove_absent(lambda: self._absence.absent(self._loop.time()))
+            ),
         ]
         self.events.started(service=self.settings.service, data_centre=self.settings.data_centre)
 
@@ -243,6 +247,7 @@
             if name in known:
                 self.view.forget(name)
             self.view.merge(by_instance[name])
+        self._absence.keep({entry.address for entry in by_instance.values()})
         self._far_addresses = frozenset(
             entry.address
             for entry in by_instance.values()
--- a/bamboojunction/mesh/registry.py
+++ b/bamboojunction/mesh/registry.py
@@ -23,6 +23,8 @@
 WATCH_SECONDS = 15.0
 RETRY_SECONDS_MIN = 0.15
 RETRY_SECONDS_MAX = 0.6
+# Each node looks this often for announcements that it could remove; the first one does it.
+ABSENCE_CHECK_SECONDS = 5.0
 # Changes that come close together are read in one call.
 GATHER_SECONDS = 0.03
 
@@ -145,6 +147,15 @@
         self._by_instance.update((entry.instance, entry) for entry in entries)
         self.on_instances(without_superseded(self._by_instance))
 
+    async def remove_absent(self, absent: Callable[[], set[str]]) -> None:
+        """Remove the announcements of nodes that nobody reaches, until cancelled."""
+        while True:
+            await asyncio.sleep(ABSENCE_CHECK_SECONDS * self._random.uniform(0.5, 1.5))
+            addresses = absent()
+            gone = [name for name, entry in self._by_instance.items() if entry.address in addresses]
+            for name in gone:
+                await self._remove(name)
+
     def announce(self, announcement: Announcement | None) -> None:
         """Set what the store should hold of this node; None removes it."""
         self._wanted = announcement
--- a/bamboojunction/nodes/links.py
+++ b/bamboojunction/nodes/links.py
@@ -41,6 +41,7 @@
         "_source_host",
         "_tasks",
         "is_far",
+        "on_failure",
         "on_open",
     )
 
@@ -56,6 +57,7 @@
         self._tasks: set[asyncio.Task] = set()
         # Messages to far nodes are compressed, as bytes between data centres cost more than time.
         self.is_far: Callable[[str], bool] = lambda address: False
+        self.on_failure: Callable[[str], None] = lambda address: None
         self.on_open: Callable[[str], None] = lambda address: None
         self._loop = asyncio.get_running_loop()
 
@@ -145,6 +147,7 @@
             link = None
         if link is None:
             self._failed_at[address] = self._loop.time()
+            self.on_failure(address)
             return None
         self._failed_at.pop(address, None)
         self._by_address[address] = link
--- /dev/null
+++ b/tests/mesh/fleet.py
@@ -0,0 +1,213 @@
+"""A store, upstreams and nodes of the platform in one process, on the loopback range."""
+
+import asyncio
+import itertools
+import os
+import socket
+
+import aiohttp
+from aiohttp import web
+
+from bamboo_standins.platform import PlatformStandIn
+from bamboojunction.mesh.process import MeshNode
+from bamboojunction.platform.http import HttpPlatformClient
+from bamboojunction.platform.machine import MachineSettings
+
+HOST = "h.example"
+_hosts = itertools.count(1)
+
+
+def free_port(host: str) -> int:
+    with socket.create_server((host, 0)) as probe:
+        return probe.getsockname()[1]
+
+
+def route(name: str, prefix: str, service: str, **changes) -> dict:
+    path = {
+        "name": name,
+        "path_prefix": prefix,
+        "kind": "idempotent",
+        "timeout_ms": 2000,
+        "goal_ms": 500,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+    }
+    return path | changes
+
+
+def configuration(version: int, *routes: dict) -> dict:
+    return {"version": version, "vhosts": [{"host": HOST, "paths": list(routes)}]}
+
+
+class Upstream:
+    """Answer each request as scripted, and count what ran."""
+
+    def __init__(self, service: str, instance_id: str):
+        self.service = service
+        self.instance_id = instance_id
+        self.ran: list[str] = []
+        self.headers: list = []
+        self.status = 200
+        self.hold = asyncio.Event()
+        self.hold.set()
+        self.drops_answers = False
+
+    async def start(self, host: str) -> str:
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self._handle)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, 0)
+        await site.start()
+        return f"{host}:{self._runner.addresses[0][1]}"
+
+    async def close(self) -> None:
+        await self._runner.cleanup()
+
+    async def _handle(self, request: web.Request) -> web.Response:
+        request_id = request.headers["Bamboojunction-Request-Id"]
+        headers = {"Bamboojunction-Request-Id": request_id, "Bamboojunction-Server-Stamp": "s"}
+        if request.headers["Bamboojunction-Expect-Instance"] != self.instance_id:
+            return web.Response(status=421, headers=headers)
+        self.ran.append(request_id)
+        self.headers.append(request.headers.copy())
+        await self.hold.wait()
+        if self.drops_answers:
+            request.transport.abort()
+        body = f"{request.method} {request.raw_path} {await request.text()}"
+        return web.Response(status=self.status, text=body, headers=headers)
+
+
+class Machine:
+    """One node and its upstream."""
+
+    def __init__(self, name: str, service: str, store: str, data_centre: str):
+        self.host = f"127.20.0.{next(_hosts)}"
+        self.upstream = Upstream(service, f"i-{name}")
+        self.name = name
+        self.store = store
+        self.data_centre = data_centre
+        self.sequence = itertools.count(1)
+
+    async def start(self) -> None:
+        address = await self.upstream.start(self.host)
+        self.settings = MachineSettings(
+            instance=self.name,
+            service=self.upstream.service,
+            data_centre=self.data_centre,
+            region="region",
+            upstream_address=address,
+            caller_address=f"{self.host}:{free_port(self.host)}",
+            ready_address=f"{self.host}:{free_port(self.host)}",
+            heartbeat_address=f"{self.host}:{free_port(self.host)}",
+            link_address=f"{self.host}:{free_port(self.host)}",
+            store_address=self.store,
+            store_writes=100.0,
+            store_reads=100.0,
+            stop_seconds=4.0,
+            repeat_ratio=0.2,
+            repeat_window=10.0,
+            repeat_slack=1_000_000.0,
+            descriptors_max=1000,
+        )
+        self.log = os.open(os.devnull, os.O_WRONLY)
+        self.node = MeshNode(self.settings, self.log)
+        await self.node.start()
+
+    async def close(self) -> None:
+        await self.node.close()
+        await self.upstream.close()
+        os.close(self.log)
+
+
+class MeshFleet:
+    """Own the store and the machines."""
+
+    def __init__(self):
+        self.platform = PlatformStandIn()
+        self.machines: dict[str, Machine] = {}
+        self.ids = itertools.count(1)
+
+    async def start(self, **services: str) -> None:
+        self._runner = web.AppRunner(self.platform.application(), shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        store = f"127.0.0.1:{self._runner.addresses[0][1]}"
+        self.client = HttpPlatformClient([store], 2.0)
+        self.session = aiohttp.ClientSession()
+        self.machines = {
+            name: Machine(name, service, store, "lac") for name, service in services.items()
+        }
+        for machine in self.machines.values():
+            await machine.start()
+
+    async def close(self) -> None:
+        for machine in self.machines.values():
+            await machine.close()
+        await self.session.close()
+        await self.client.close()
+        await self._runner.cleanup()
+
+    async def configure(self, value: dict) -> None:
+        known = await self.client.get("config", "main")
+        version = known.ok().version if known.is_ok() else 0
+        (await self.client.put("config", "main", value, version)).unwrap()
+        await self.wait_until(
+            lambda: all(
+                machine.node.holder.routes.version >= value["version"]
+                for machine in self.machines.values()
+            )
+        )
+
+    async def beat(self, name: str, state: str = "ready") -> int:
+        machine = self.machines[name]
+        url = (
+            f"http://{machine.settings.heartbeat_address}/instances/{machine.upstream.instance_id}"
+        )
+        body = {
+            "service": machine.upstream.service,
+            "address": machine.settings.upstream_address,
+            "zone": "lac",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_left_ms": 0,
+            "sequence": next(machine.sequence),
+            "born": 1_700_000_000_000,
+        }
+        async with self.session.put(url, json=body) as response:
+            return response.status
+
+    async def join(self) -> None:
+        """Send a heartbeat of each upstream and wait until every node knows all of them."""
+        for name in self.machines:
+            await self.beat(name)
+        await self.wait_until(
+            lambda: all(
+                len(machine.node.view.by_instance) == len(self.machines)
+                for machine in self.machines.values()
+            )
+        )
+
+    async def request(self, name: str, path: str, method: str = "GET", **options):
+        """Send a request to a node and return status, headers and text."""
+        machine = self.machines[name]
+        headers = {
+            "Host": HOST,
+            "Bamboojunction-Request-Id": f"id-{next(self.ids)}",
+            "Bamboojunction-Deadline-Ms": "1500",
+        } | options.pop("headers", {})
+        url = f"http://{machine.settings.caller_address}{path}"
+        async with self.session.request(method, url, headers=headers, **options) as response:
+            return response.status, response.headers, await response.text()
+
+    async def ready(self, name: str) -> int:
+        url = f"http://{self.machines[name].settings.ready_address}/readyz"
+        async with self.session.get(url) as response:
+            return response.status
+
+    async def wait_until(self, holds) -> None:
+        async with asyncio.timeout(10.0):
+            while not holds():
+                await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/mesh/test_path.py
@@ -0,0 +1,122 @@
+"""Requests through whole nodes of the platform, with the store and upstreams as stand-ins."""
+
+import asyncio
+import unittest
+
+from tests.mesh.fleet import MeshFleet, configuration, route
+
+
+class PathTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = MeshFleet()
+        await self.fleet.start(a="menu", b="menu", c="billing")
+        self.addAsyncCleanup(self.fleet.close)
+
+    async def serve(self) -> None:
+        await self.fleet.configure(
+            configuration(
+                3,
+                route("r-menu", "/menu/", "menu"),
+                route("r-pay", "/pay/", "billing", kind="non_idempotent"),
+            )
+        )
+        await self.fleet.join()
+
+    def upstream(self, name: str):
+        return self.fleet.machines[name].upstream
+
+    async def test_without_a_configuration_requests_are_refused_and_the_node_is_not_ready(self):
+        self.assertEqual(await self.fleet.ready("a"), 503)
+        status, headers, _ = await self.fleet.request("a", "/menu/x")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+
+    async def test_request_reaches_the_service_of_its_route_unchanged(self):
+        await self.serve()
+        self.assertEqual(await self.fleet.ready("a"), 200)
+        status, headers, text = await self.fleet.request("a", "/pay/x%2Fy?q=%20z", "POST", data="b")
+        self.assertEqual((status, text), (200, "POST /pay/x%2Fy?q=%20z b"))
+        self.assertEqual(headers["Bamboojunction-Server-Stamp"], "s")
+        sent = self.upstream("c").headers[0]
+        self.assertEqual(sent["Bamboojunction-Caller-Service"], "menu")
+        self.assertLessEqual(int(sent["Bamboojunction-Deadline-Ms"]), 1500)
+
+    async def test_unknown_routes_are_not_found(self):
+        await self.serve()
+        status, _, _ = await self.fleet.request("a", "/none/x")
+        self.assertEqual(status, 404)
+
+    async def test_newer_configuration_is_in_force_and_older_ones_never_again(self):
+        await self.serve()
+        await self.fleet.configure(configuration(5, route("r-menu", "/menu/", "billing")))
+        await self.fleet.request("a", "/menu/x")
+        self.assertEqual(len(self.upstream("c").ran), 1)
+        status, _, _ = await self.fleet.request("a", "/pay/x", "POST")
+        self.assertEqual(status, 404)
+
+    async def test_failed_idempotent_request_is_served_by_another_instance(self):
+        await self.serve()
+        self.upstream("a").status = 500
+        statuses = [(await self.fleet.request("a", "/menu/x"))[0] for _ in range(10)]
+        self.assertEqual(set(statuses), {200})
+
+    async def test_lost_answer_of_a_once_only_request_is_not_repeated_and_promises_nothing(self):
+        await self.serve()
+        self.upstream("c").drops_answers = True
+        status, _, _ = await self.fleet.request("a", "/pay/x", "POST")
+        self.assertEqual(status, 502)
+        self.assertEqual(len(self.upstream("c").ran), 1)
+
+    async def test_deadline_ends_the_wait(self):
+        await self.serve()
+        self.upstream("c").hold.clear()
+        headers = {"Bamboojunction-Deadline-Ms": "300"}
+        status, _, _ = await self.fleet.request("a", "/pay/x", "POST", headers=headers)
+        self.assertEqual(status, 504)
+
+    async def test_draining_upstream_gets_nothing_after_the_acknowledgement(self):
+        await self.serve()
+        self.assertEqual(await self.fleet.beat("a", "draining"), 200)
+        before = len(self.upstream("a").ran)
+        for _ in range(10):
+            status, _, _ = await self.fleet.request("a", "/menu/x")
+            self.assertEqual(status, 200)
+        self.assertEqual(len(self.upstream("a").ran), before)
+
+    async def test_stopping_node_finishes_what_it_took_and_takes_nothing_at_its_gate(self):
+        await self.serve()
+        self.upstream("c").hold.clear()
+        running = asyncio.create_task(self.fleet.request("a", "/pay/x", "POST"))
+        await self.fleet.wait_until(lambda: self.upstream("c").ran)
+        stopping = asyncio.create_task(self.fleet.machines["a"].node.stop())
+        await asyncio.sleep(0.1)
+        self.assertEqual(await self.fleet.ready("a"), 503)
+        await self.fleet.beat("a")
+        before = len(self.upstream("a").ran)
+        for _ in range(5):
+            status, _, _ = await self.fleet.request("b", "/menu/x")
+            self.assertEqual(status, 200)
+        self.assertEqual(len(self.upstream("a").ran), before)
+        self.upstream("c").hold.set()
+        self.assertEqual((await running)[0], 200)
+        await stopping
+
+    async def test_caller_that_leaves_ends_the_work(self):
+        await self.serve()
+        self.upstream("c").hold.clear()
+        request = asyncio.create_task(self.fleet.request("a", "/pay/x", "POST"))
+        await self.fleet.wait_until(lambda: self.upstream("c").ran)
+        request.cancel()
+        gate = self.fleet.machines["c"].node.gate
+        await self.fleet.wait_until(lambda: gate.report().in_flight == 0)
+
+    async def test_store_that_loses_an_announcement_gets_it_again(self):
+        await self.serve()
+        found = (await self.fleet.client.get("upstreams", "a")).unwrap()
+        (await self.fleet.client.delete("upstreams", "a", found.version)).unwrap()
+        names: list[str] = []
+        async with asyncio.timeout(10.0):
+            while "a" not in names:
+                listed = (await self.fleet.client.list("upstreams")).unwrap()
+                names = [item.name for item in listed.objects]
+                await asyncio.sleep(0.02)
