--- a/bamboojunction/core/admission/reach.py
+++ b/bamboojunction/core/admission/reach.py
@@ -5,6 +5,15 @@
 from bamboojunction.core.load import LoadReport
 
 KINDS_MAX = 1_024
+# The least urgent rank of calls below the service where a request enters. A service that serves
+# chains of several kinds sheds the same part of each, since a chain that fails there has cost its
+# upper services as much whatever its rank.
+CHAIN_RANK_MAX = 1
+
+
+def chain_rank(rank: int) -> int:
+    """Return the rank of the calls that a request of a rank makes."""
+    return min(rank, CHAIN_RANK_MAX)
 
 
 class Reach:
--- a/bamboojunction/mesh/face.py
+++ b/bamboojunction/mesh/face.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok
 
+from bamboojunction.core.admission.reach import chain_rank
 from bamboojunction.core.calls import Call
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
 from bamboojunction.core.routes import Route, RouteHolder
@@ -141,7 +142,8 @@
         if parent is None:
             call.root, call.rank = call.action, route.row.rank
         else:
-            call.root, call.rank, call.depth = parent.root, parent.rank, parent.depth + 1
+            call.root, call.depth = parent.root, parent.depth + 1
+            call.rank = route.row.rank if parent.rank is None else chain_rank(parent.rank)
         if is_client:
             self._forwarder.budget(call.service).requested(started)
         outcome = await self._watched(self._forwarder.route(call, route.row), receive)
--- a/bamboojunction/mesh/forwarding.py
+++ b/bamboojunction/mesh/forwarding.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from bamboojunction.core.admission.reach import Reach
+from bamboojunction.core.admission.reach import Reach, chain_rank
 from bamboojunction.core.calls import Call
 from bamboojunction.core.load import LoadReport
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
@@ -70,9 +70,10 @@
         """Refuse a new call that a service would shed which its kind reaches."""
         if call.depth:
             return None
-        rank = row.rank if call.rank is None else call.rank
-        services = self.reach.services(call.kind)
-        return self._edge.refusal(services, rank, call.root or call.action, now)
+        below = (name for name in self.reach.services(call.kind) if name != call.service)
+        return self._edge.refusal((call.service,), row.rank, call.root, now) or self._edge.refusal(
+            below, chain_rank(row.rank), call.root, now
+        )
 
     def _learn(self, call: Call, instance: str, report: LoadReport, now: float) -> None:
         super()._learn(call, instance, report, now)
--- a/tests/admission/test_reach.py
+++ b/tests/admission/test_reach.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bamboojunction.core.admission.reach import KINDS_MAX, Reach
+from bamboojunction.core.admission.reach import KINDS_MAX, Reach, chain_rank
 from bamboojunction.core.load import AdmissionLevel, LoadReport, RankShare, ServiceLevel
 
 
@@ -17,6 +17,9 @@
         self.assertEqual(set(reach.services("menu")), {"catalogue", "dispatch", "stock"})
         self.assertEqual(reach.services("other"), ())
 
+    def test_chains_below_their_entry_are_as_urgent_as_each_other(self):
+        self.assertEqual([chain_rank(rank) for rank in (0, 1, 2, 9)], [0, 1, 1, 1])
+
     def test_memory_is_bounded(self):
         reach = Reach()
         for number in range(KINDS_MAX + 10):
