--- a/bamboojunction/core/retries/forwarding.py
+++ b/bamboojunction/core/retries/forwarding.py
@@ -11,8 +11,6 @@
 # Refusals by a gate or a lost peer: the request never reached an upstream.
 FREE_REASONS = frozenset(
     {
-        # A gate whose queue leaves too little time; another one may have free slots.
-        NotRunReason.DEADLINE,
         NotRunReason.DRAINING,
         NotRunReason.FULL,
         NotRunReason.SHED,
