--- a/bamboojunction/mesh/forwarding.py
+++ b/bamboojunction/mesh/forwarding.py
@@ -61,6 +61,7 @@
             if step is Step.ANSWER:
                 return outcome_of_all(attempts.earlier, outcome)
             attempts.note(call, outcome, instance)
+            call.attempt += 1
             attempts.suspect = None
             if instance is None or _is_unsent(outcome):
                 # Lets the loop learn what other requests find before the next choice.
@@ -68,7 +69,7 @@
 
     def _refusal_at_edge(self, call: Call, row: Row, now: float) -> NotRun | None:
         """Refuse a new call that a service would shed which its kind reaches."""
-        if call.depth:
+        if call.depth or call.attempt:
             return None
         below = (name for name in self.reach.services(call.kind) if name != call.service)
         return self._edge.refusal((call.service,), row.rank, call.root, now) or self._edge.refusal(
--- a/bamboojunction/operators/explain.py
+++ b/bamboojunction/operators/explain.py
@@ -77,14 +77,14 @@
         return f"answered {status}: {_describe(decided)}"
 
     def _decided(self, request_id: str) -> Entry | None:
-        failures = [
-            entry
-            for entry in self._of(request_id)
-            if entry.is_failure and entry.event == "request.attempt"
-        ]
+        lines = [entry for entry in self._of(request_id) if entry.is_failure]
+        # The router's lines may have been left out where a gate's were not.
+        failures = [entry for entry in lines if entry.event == "request.attempt"] or lines
         if not failures:
             return None
-        last = failures[-1]
+        # That no instance was left to try says less than why the others did not serve.
+        telling = [entry for entry in failures if entry.pairs.get("instance")]
+        last = (telling or failures)[-1]
         if last.pairs["outcome"].startswith("ran:"):
             below = [self._decided(child) for child in self._children(request_id)]
             failed = [entry for entry in below if entry is not None]
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -3,9 +3,24 @@
 import asyncio
 import unittest
 
+from bamboojunction.core.outcomes import NotRun, NotRunReason
 from tests.mesh.fleet import MeshFleet, configuration, route
 
 
+class ClosingEdge:
+    """Admit the first question of each of two services, and refuse afterwards."""
+
+    def __init__(self):
+        self.questions = 0
+
+    def refusal(self, services, rank, action, now):
+        self.questions += 1
+        return None if self.questions <= 2 else NotRun(NotRunReason.SHED_AT_EDGE)
+
+    def learn(self, *arguments):
+        pass
+
+
 class PathTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = MeshFleet()
@@ -60,6 +75,13 @@
         statuses = [(await self.fleet.request("a", "/menu/x"))[0] for _ in range(10)]
         self.assertEqual(set(statuses), {200})
 
+    async def test_repeat_is_not_refused_for_what_other_requests_would_be(self):
+        await self.serve()
+        self.upstream("a").status = self.upstream("b").status = 500
+        self.fleet.machines["c"].node.forwarder._edge = ClosingEdge()
+        await self.fleet.request("c", "/menu/x")
+        self.assertEqual(len(self.upstream("a").ran) + len(self.upstream("b").ran), 2)
+
     async def test_lost_answer_of_a_once_only_request_is_not_repeated_and_promises_nothing(self):
         await self.serve()
         self.upstream("c").drops_answers = True
--- a/tests/operators/test_explain.py
+++ b/tests/operators/test_explain.py
@@ -14,6 +14,9 @@
 time=11.000 event=request.answered node=a id=r2 path=/y kind="" status=404 ms=1 version=3
 time=12.000 event=request.attempt node=a id=r3 service=s instance=b outcome=unknown:lost-link
 time=12.001 event=request.answered node=a id=r3 path=/x kind=k status=502 ms=1 version=3
+time=12.500 event=request.attempt node=a id=r6 service=s instance=b outcome=not-run:full
+time=12.501 event=request.attempt node=a id=r6 service=s instance="" outcome=not-run:no-upstream
+time=12.502 event=request.answered node=a id=r6 path=/x kind=k status=503 ms=1 version=3
 time=13.000 event=request.cancelled node=a id=r4 ms=3
 """.splitlines()
 
@@ -34,5 +37,6 @@
     def test_other_causes_are_named(self):
         self.assertIn("no route of version 3", self.cause("r2"))
         self.assertIn("unknown:lost-link at b", self.cause("r3"))
+        self.assertIn("not-run:full at b", self.cause("r6"))
         self.assertIn("went away", self.cause("r4"))
         self.assertIn("no line says", self.cause("r5"))
