Checked the kind of the error of a lost edit, which the store client now gives

The stand-in fleet writes the table by the product's own client, so the error of a lost answer is a value of that client and no exception of aiohttp. The check now also fails when no error comes.

--- a/tests/processes/test_table_faults.py
+++ b/tests/processes/test_table_faults.py
@@ -3,7 +3,10 @@
 import asyncio
 import signal
 
+from result import UnwrapError
+
 from bamboo_standins.fault_proxy import ProxyFaults
+from bamboojunction.platform.client import PlatformErrorKind
 from tests.matrix.cells import Fault, Step, proves
 from tests.processes.base import TABLE, FleetTestCase, on_fleet
 
@@ -46,10 +49,9 @@
     async def test_edit_whose_answer_was_lost_is_in_force(self):
         current = await self.fleet.table_version()
         await self.fleet.platform_faults(lose_answers=1)
-        try:
+        with self.assertRaises(UnwrapError) as raised:
             await self.fleet.write_table(TABLE.replace(",50,once", ",60,once"), current)
-        except Exception as error:
-            self.assertTrue(type(error).__module__.startswith("aiohttp"), error)
+        self.assertIs(raised.exception.result.err().kind, PlatformErrorKind.LOST_ANSWER)
         await self.assert_in_force(current + 1)
 
     @proves(Fault.PLATFORM_SLOW, Step.TABLE_APPLY)
