--- a/bamboojunction/core/routes.py
+++ b/bamboojunction/core/routes.py
@@ -5,6 +5,9 @@
 
 from bamboojunction.core.table.rows import DEFAULT_ROW, Row
 
+# The fractional part of the golden ratio; its multiples spread most evenly over an interval of 1.
+GOLDEN_STEP = 0.618033988749895
+
 
 @dataclass(slots=True, frozen=True)
 class Part:
@@ -42,7 +45,6 @@
     version: int = 0
     by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     by_kind: dict[str, Route] = field(default_factory=dict)
-    connections_by_service: dict[str, int] = field(default_factory=dict)
     body_max_bytes: int = 1_000_000
 
     @classmethod
@@ -50,7 +52,6 @@
         cls,
         version: int,
         by_host: dict[str, tuple[Route, ...]],
-        connections_by_service: dict[str, int],
         body_max_bytes: int,
     ) -> "Routes":
         """Create a version from the routes of each host, in any order."""
@@ -59,7 +60,7 @@
             for host, routes in by_host.items()
         }
         by_kind = {route.row.kind: route for routes in by_host.values() for route in routes}
-        return cls(version, sorted_by_host, by_kind, connections_by_service, body_max_bytes)
+        return cls(version, sorted_by_host, by_kind, body_max_bytes)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request, the one with the longest prefix."""
@@ -71,19 +72,21 @@
 class RouteHolder:
     """Hold the highest version seen; never go back to an older one."""
 
-    __slots__ = ("_debt_by_part", "_random", "routes")
+    __slots__ = ("_point_by_kind", "_random", "routes")
 
     def __init__(self, rng: random.Random | None = None):
         self.routes = Routes()
         self._random = rng or random.Random()
-        self._debt_by_part: dict[tuple[str, str], float] = {}
+        self._point_by_kind: dict[str, float] = {}
 
     def offer(self, routes: Routes) -> bool:
         """Put a version in force if it is newer and return whether it was."""
         if routes.version <= self.routes.version:
             return False
         self.routes = routes
-        self._debt_by_part.clear()
+        self._point_by_kind = {
+            kind: point for kind, point in self._point_by_kind.items() if kind in routes.by_kind
+        }
         return True
 
     def row(self, kind: str) -> Row:
@@ -94,22 +97,18 @@
     def pick(self, route: Route) -> str:
         """Return the service that serves the next request, each by its weight's share.
 
-        Each part is owed its weight for each request; the one owed most serves. The first request
-        starts at a random place, so that nodes with little traffic differ.
+        The points that choose the part start at random and step by the golden ratio. Each request
+        of each node therefore has the true shares, and a row of requests of one node keeps to them
+        more closely than by chance.
         """
         if len(route.parts) == 1:
             return route.parts[0].service
-        total = sum(part.weight for part in route.parts)
-        if total <= 0:
-            return route.parts[0].service
-        kind = route.row.kind
-        debts = self._debt_by_part
+        point = self._point_by_kind.get(route.row.kind)
+        point = self._random.random() if point is None else (point + GOLDEN_STEP) % 1.0
+        self._point_by_kind[route.row.kind] = point
+        left = point * sum(part.weight for part in route.parts)
         for part in route.parts:
-            share = part.weight / total
-            known = debts.get((kind, part.service))
-            debts[kind, part.service] = (
-                share + self._random.random() * share if known is None else known + share
-            )
-        chosen = max(route.parts, key=lambda part: debts[kind, part.service])
-        debts[kind, chosen.service] -= 1.0
-        return chosen.service
+            left -= part.weight
+            if left < 0:
+                return part.service
+        return route.parts[-1].service
--- a/bamboojunction/mesh/forwarding.py
+++ b/bamboojunction/mesh/forwarding.py
@@ -1,35 +1,46 @@
 """Forwarding of requests to gates, with the moves and repeats that the rules allow."""
 
 import asyncio
-from collections.abc import Callable
 
-from bamboojunction.core.admission.reach import Reach, chain_rank
+from bamboojunction.core.admission.reach import chain_rank
 from bamboojunction.core.calls import Call
 from bamboojunction.core.load import LoadReport
+from bamboojunction.core.membership.view import MembershipView
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
 from bamboojunction.core.retries.fleet_budget import FleetRepeatBudget, RepeatBounds
 from bamboojunction.core.retries.forwarding import FREE_REASONS, Progress, Step, next_step
 from bamboojunction.core.retries.truth import outcome_of_all
+from bamboojunction.core.routing.router import Router
 from bamboojunction.core.table.rows import Row
+from bamboojunction.mesh.gate import MeshGate
 from bamboojunction.node.calling import AttemptProgress, CallRouter, KeyedSends
+from bamboojunction.nodes.links import LinkPool
 from bamboojunction.telemetry.events import EventLog
 
 
 class Forwarder(CallRouter):
     """Route requests to gates until one answers or no other may be asked."""
 
-    __slots__ = ("_bounds", "_budget_by_service", "_events", "nodes", "parent_kind_of", "reach")
+    __slots__ = ("_bounds", "_budget_by_service", "_events", "_own_gate", "nodes")
 
-    def bind(self, bounds: RepeatBounds, events: EventLog) -> None:
-        """Name the fleet's bound of repeats and where decisions are logged."""
+    def __init__(
+        self,
+        instance: str,
+        router: Router,
+        view: MembershipView,
+        links: LinkPool,
+        gate: MeshGate,
+        bounds: RepeatBounds,
+        events: EventLog,
+    ):
+        super().__init__(instance, router, view, links, gate, gate.edge)
         self._bounds = bounds
         self._events = events
         self._budget_by_service: dict[str, FleetRepeatBudget] = {}
+        self._own_gate = gate
         self.nodes = 1
-        self.reach = Reach()
-        self.parent_kind_of: Callable[[str], str | None] = lambda request_id: None
 
-    def rebind(self, bounds: RepeatBounds) -> None:
+    def change_bounds(self, bounds: RepeatBounds) -> None:
         """Take a new bound of repeats."""
         self._bounds = bounds
         self._budget_by_service.clear()
@@ -71,15 +82,16 @@
         """Refuse a new call that a service would shed which its kind reaches."""
         if call.depth or call.attempt:
             return None
-        below = (name for name in self.reach.services(call.kind) if name != call.service)
+        below = (name for name in self._own_gate.reach.services(call.kind) if name != call.service)
         return self._edge.refusal((call.service,), row.rank, call.root, now) or self._edge.refusal(
             below, chain_rank(row.rank), call.root, now
         )
 
     def _learn(self, call: Call, instance: str, report: LoadReport, now: float) -> None:
         super()._learn(call, instance, report, now)
-        parent = self.parent_kind_of(call.action) if call.depth else None
-        self.reach.learn(call.kind, call.service, report, parent)
+        parent = self._own_gate.parent_of(call.action) if call.depth else None
+        parent_kind = None if parent is None else parent.kind
+        self._own_gate.reach.learn(call.kind, call.service, report, parent_kind)
 
 
 def _is_unsent(outcome: Outcome) -> bool:
--- a/bamboojunction/mesh/gate.py
+++ b/bamboojunction/mesh/gate.py
@@ -16,10 +16,11 @@
     Unknown,
     UnknownReason,
 )
+from bamboojunction.core.poison.guard import PoisonGuard
 from bamboojunction.core.routes import RouteHolder
 from bamboojunction.core.table.rows import Effect, Row, weight_of
 from bamboojunction.mesh.neighbour import Neighbour
-from bamboojunction.node.contexts import RunningCall
+from bamboojunction.node.contexts import RunningCall, RunningCalls
 from bamboojunction.node.serving import GateService
 from bamboojunction.nodes.replies import GateReply
 from bamboojunction.platform import requests
@@ -28,6 +29,8 @@
 from bamboojunction.upstreams.exchange import Failure, RawAnswer
 from bamboojunction.upstreams.pool import UpstreamPool
 
+# Slots until the first heartbeat tells them.
+SLOTS_UNKNOWN = 1
 UNREACHABLE_RETRY_AFTER_SECONDS = 0.1
 
 
@@ -90,20 +93,27 @@
 class MeshGate(GateService):
     """Serve calls at the upstream that the neighbour's heartbeats describe."""
 
-    __slots__ = ("_is_stopping", "_neighbour", "_running_ids", "_service", "events", "reach")
-
-    def bind(self, neighbour: Neighbour, service: str, events: EventLog) -> None:
-        """Name the upstream's state, the service that calls must name and the log."""
+    __slots__ = ("_events", "_is_stopping", "_neighbour", "_running_by_id", "_service", "reach")
+
+    def __init__(
+        self,
+        client: UpstreamSender,
+        holder: RouteHolder,
+        neighbour: Neighbour,
+        service: str,
+        events: EventLog,
+    ):
+        super().__init__(Admission(SLOTS_UNKNOWN), client, holder, PoisonGuard(), RunningCalls())
         self._neighbour = neighbour
         self._service = service
         self._is_stopping = False
-        self._running_ids: dict[str, Call] = {}
-        self.events = events
+        self._running_by_id: dict[str, Call] = {}
+        self._events = events
         self.reach = Reach()
 
     def parent_of(self, request_id: str) -> Call | None:
         """Return the running call whose upstream sent a request, by the id that it derived."""
-        return self._running_ids.get(request_id.rpartition(".")[0])
+        return self._running_by_id.get(request_id.rpartition(".")[0])
 
     def stop(self) -> None:
         """Refuse new calls for good, whatever the upstream reports, as the node leaves."""
@@ -121,7 +131,7 @@
         if self._is_stopping and isinstance(reply.outcome, NotRun):
             # The upstream stays; peers try again soon whether the next process is there.
             reply = self._refused(call, NotRun(NotRunReason.UNREACHABLE))
-        self.events.served(call, reply, self._loop.time() - started)
+        self._events.served(call, reply, self._loop.time() - started)
         return reply
 
     async def _serve_or_refuse(self, call: Call) -> GateReply:
@@ -145,11 +155,11 @@
         return replace(self.report(), below=below, draining=False)
 
     async def _run(self, ticket: Ticket, call: Call, fingerprint: int) -> GateReply:
-        self._running_ids[call.action] = call
+        self._running_by_id[call.action] = call
         try:
             return await super()._run(ticket, call, fingerprint)
         finally:
-            self._running_ids.pop(call.action, None)
+            self._running_by_id.pop(call.action, None)
 
     def _note_end(self, ticket_id: int, outcome: Outcome | None) -> None:
         """Leave the crash guard alone: requests differ by their ids only."""
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -6,12 +6,11 @@
 import time
 
 from bamboojunction.callers.server import HttpServer, listen
+from bamboojunction.conf.addresses import split_address
 from bamboojunction.conf.settings import LinkSettings
-from bamboojunction.core.admission.gate import Admission
 from bamboojunction.core.clock import TICK_SECONDS, PauseDetector
 from bamboojunction.core.membership.absence import Absence
 from bamboojunction.core.membership.view import Announcement, InstanceState, MembershipView
-from bamboojunction.core.poison.guard import PoisonGuard
 from bamboojunction.core.retries.fleet_budget import RepeatBounds
 from bamboojunction.core.routes import RouteHolder
 from bamboojunction.core.routing.router import Router
@@ -21,7 +20,6 @@
 from bamboojunction.mesh.neighbour import Change, Neighbour
 from bamboojunction.mesh.peers import PeerNews
 from bamboojunction.mesh.registry import Registry
-from bamboojunction.node.contexts import RunningCalls
 from bamboojunction.nodes.convert import request_to_call
 from bamboojunction.nodes.handshake import Identity
 from bamboojunction.nodes.links import LinkPool
@@ -38,9 +36,6 @@
 STORE_TIMEOUT_SECONDS = 1.5
 # Clients reuse connections that were idle for up to four fifths of the configured idle time.
 KEEP_ALIVE_SECONDS = 60
-# Slots until the first heartbeat tells them.
-SLOTS_UNKNOWN = 1
-CONNECTIONS_UNKNOWN = 64
 # How long callers still send requests after readiness ended: two checks a second apart.
 CALLERS_LEAVE_SECONDS = 2.6
 # Callers that still send requests this long after the stop began are refused, so that each request
@@ -53,12 +48,6 @@
 )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of an ``ip:port`` address."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class MeshNode:
     """Own the parts of one node; create it inside a running event loop."""
 
@@ -79,22 +68,21 @@
         self.links.is_far = self._is_far
         self._absence = Absence()
         self.links.on_failure = lambda address: self._absence.failed(address, self._loop.time())
-        self.pool = UpstreamPool(settings.upstream_address, CONNECTIONS_UNKNOWN)
+        self.pool = UpstreamPool(settings.upstream_address)
         self.neighbour = Neighbour(settings.service)
         self.neighbour.on_change = self._upstream_changed
         sender = UpstreamSender(self.pool, self.holder)
         sender.on_misdirected = self.neighbour.misdirected
-        self.gate = MeshGate(
-            Admission(SLOTS_UNKNOWN), sender, self.holder, PoisonGuard(), RunningCalls()
-        )
-        self.gate.bind(self.neighbour, settings.service, self.events)
+        self.gate = MeshGate(sender, self.holder, self.neighbour, settings.service, self.events)
         self.forwarder = Forwarder(
-            settings.instance, self.router, self.view, self.links, self.gate, self.gate.edge
+            settings.instance,
+            self.router,
+            self.view,
+            self.links,
+            self.gate,
+            repeat_bounds(settings),
+            self.events,
         )
-        bounds = RepeatBounds(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window)
-        self.forwarder.bind(bounds, self.events)
-        self.forwarder.reach = self.gate.reach
-        self.forwarder.parent_kind_of = self._parent_kind_of
         client = HttpPlatformClient([settings.store_address], STORE_TIMEOUT_SECONDS)
         self.registry = Registry(client, self.holder, random.Random(), self.events)
         self.registry.own_name = settings.instance
@@ -184,14 +172,9 @@
     def reload(self, settings: MachineSettings) -> None:
         """Take the settings that may change while the node runs."""
         self.settings = settings
-        bounds = RepeatBounds(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window)
-        self.forwarder.rebind(bounds)
+        self.forwarder.change_bounds(repeat_bounds(settings))
         self.events.reloaded(stop_seconds=settings.stop_seconds)
 
-    def _parent_kind_of(self, request_id: str) -> str | None:
-        parent = self.gate.parent_of(request_id)
-        return None if parent is None else parent.kind
-
     def _is_far(self, address: str) -> bool:
         """Return whether the node at a link address is known to be in another data centre."""
         return address in self._far_addresses
@@ -276,5 +259,10 @@
                 self.events.paused(pause)
 
 
+def repeat_bounds(settings: MachineSettings) -> RepeatBounds:
+    """Return the fleet's bound of repeats that the settings name."""
+    return RepeatBounds(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window)
+
+
 def _refuse_seal(seal: Seal) -> SealAnswer:
     return SealAnswer(seal.request_id, False)
--- a/bamboojunction/node/feeds.py
+++ b/bamboojunction/node/feeds.py
@@ -8,7 +8,8 @@
 from result import Err, Ok
 
 from bamboojunction.core.membership.exchange import Exchange
-from bamboojunction.platform.budget import Backoff
+from bamboojunction.core.platform_budget import Backoff
+from bamboojunction.node.paced import PacedPlatformClient
 from bamboojunction.platform.client import (
     ObjectList,
     PlatformError,
@@ -16,7 +17,6 @@
     PlatformObject,
     WatchBatch,
 )
-from bamboojunction.platform.paced import PacedPlatformClient
 
 POLL_SECONDS = 60.0
 # A node that does not watch reads this soon when nobody has news of the platform.
--- a/bamboojunction/node/platform_sync.py
+++ b/bamboojunction/node/platform_sync.py
@@ -14,15 +14,15 @@
 from bamboojunction.core.membership.exchange import Exchange
 from bamboojunction.core.membership.messages import Send
 from bamboojunction.core.membership.view import COLLECTION, Announcement
+from bamboojunction.core.platform_budget import Backoff, CallBudget
 from bamboojunction.core.table import objects
 from bamboojunction.node.feeds import Feed
-from bamboojunction.platform.budget import Backoff, CallBudget
+from bamboojunction.node.paced import PacedPlatformClient
 from bamboojunction.platform.client import (
     PlatformClient,
     PlatformErrorKind,
     PlatformObject,
 )
-from bamboojunction.platform.paced import PacedPlatformClient
 
 SCHEMA = 1
 REFRESH_SECONDS = 6 * 3600.0
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -9,6 +9,7 @@
 from bamboojunction.callers.app import CallSink, create_app
 from bamboojunction.callers.requests import RequestReader
 from bamboojunction.callers.server import CallerServer
+from bamboojunction.conf.addresses import split_address
 from bamboojunction.conf.settings import Settings
 from bamboojunction.core.admission.gate import Admission
 from bamboojunction.core.clock import TICK_SECONDS, PauseDetector
@@ -44,12 +45,6 @@
 INCARNATION_BYTES = 6
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of an ``ip:port`` address."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class Node:
     """Own the parts of one node; create it inside a running event loop."""
 
--- a/bamboojunction/operators/table_edit.py
+++ b/bamboojunction/operators/table_edit.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from bamboojunction.core.platform_budget import Backoff
 from bamboojunction.core.table.diff import RowChange, diff_tables
 from bamboojunction.core.table.objects import (
     COLLECTION,
@@ -17,7 +18,6 @@
     with_unknown_cells,
 )
 from bamboojunction.core.table.rows import Table
-from bamboojunction.platform.budget import Backoff
 from bamboojunction.platform.client import (
     PlatformClient,
     PlatformError,
--- a/bamboojunction/platform/configuration.py
+++ b/bamboojunction/platform/configuration.py
@@ -34,12 +34,6 @@
     paths: list[_Path]
 
 
-class _Service(msgspec.Struct):
-    name: str
-    # Connections that one backend accepts from all callers together.
-    max_conns: int = 64
-
-
 class _Limits(msgspec.Struct):
     max_body_bytes: int = 1_000_000
 
@@ -47,7 +41,6 @@
 class _Configuration(msgspec.Struct):
     version: int
     vhosts: list[_Host]
-    services: list[_Service] = msgspec.field(default_factory=list)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -61,8 +54,7 @@
         }
     except (msgspec.ValidationError, KeyError) as error:
         return Err(f"configuration cannot be read: {error}")
-    connections = {service.name: service.max_conns for service in found.services}
-    return Ok(Routes.build(found.version, routes, connections, found.limits.max_body_bytes))
+    return Ok(Routes.build(found.version, routes, found.limits.max_body_bytes))
 
 
 def _route(host: str, path: _Path) -> Route:
--- a/bamboojunction/platform/machine.py
+++ b/bamboojunction/platform/machine.py
@@ -9,11 +9,6 @@
 FILE_VARIABLE = "BAMBOOJUNCTION_NODE_FILE"
 
 
-class _Limits(msgspec.Struct):
-    max_fds: int = 1024
-    memory_mb: int = 128
-
-
 class _Machine(msgspec.Struct):
     node: str
     zone: str
@@ -22,7 +17,6 @@
     service: str
     # The address of the backend, which only this machine reaches.
     app_addr: str
-    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _Listen(msgspec.Struct):
@@ -38,17 +32,14 @@
 
 class _Store(msgspec.Struct):
     address: str
-    writes_per_s: float
-    reads_per_s: float
 
 
 class _Provider(msgspec.Struct):
+    # The metadata store.
     provider: _Store
-    beat_ms: int = 1500
 
 
 class _Bounds(msgspec.Struct):
-    drain_ms: int = 2000
     grace_s: float = 6.0
     budget_ratio: float = 0.2
     budget_window_s: float = 10.0
@@ -70,7 +61,6 @@
 class MachineSettings:
     """Hold what the platform tells a node about its place; times are in seconds.
 
-    ``store_writes`` and ``store_reads`` are the rates of calls a second that all nodes share.
     ``repeat_ratio``, ``repeat_slack`` and ``repeat_window`` bound the arrivals at a service beyond
     the first of each request, over all nodes.
     """
@@ -85,13 +75,10 @@
     heartbeat_address: str
     link_address: str
     store_address: str
-    store_writes: float
-    store_reads: float
     stop_seconds: float
     repeat_ratio: float
     repeat_window: float
     repeat_slack: float
-    descriptors_max: int
 
 
 def read_machine(text: bytes) -> Result[MachineSettings, str]:
@@ -113,12 +100,9 @@
             heartbeat_address=file.network.listen.control,
             link_address=f"{machine.ip}:{file.network.port_range[0]}",
             store_address=store.address,
-            store_writes=store.writes_per_s,
-            store_reads=store.reads_per_s,
             stop_seconds=bounds.grace_s,
             repeat_ratio=bounds.budget_ratio,
             repeat_window=bounds.budget_window_s,
             repeat_slack=bounds.budget_slack,
-            descriptors_max=machine.limits.max_fds,
         )
     )
--- a/bamboojunction/upstreams/pool.py
+++ b/bamboojunction/upstreams/pool.py
@@ -4,6 +4,7 @@
 import socket
 from collections import deque
 
+from bamboojunction.conf.addresses import split_address
 from bamboojunction.upstreams.exchange import Failure, RawAnswer, UpstreamConnection
 
 CONNECT_SECONDS = 1.0
@@ -20,16 +21,12 @@
 class UpstreamPool:
     """Own the connections to one address; the most recently used one is taken first."""
 
-    __slots__ = ("_host", "_idle", "_in_use", "_loop", "_port", "connections_max", "opened")
+    __slots__ = ("_host", "_idle", "_loop", "_port", "opened")
 
-    def __init__(self, address: str, connections_max: int):
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
+    def __init__(self, address: str):
+        self._host, self._port = split_address(address)
         self._loop = asyncio.get_running_loop()
         self._idle: deque[UpstreamConnection] = deque()
-        self._in_use = 0
-        self.connections_max = connections_max
         self.opened = 0
 
     async def exchange(self, request: bytes, is_repeatable: bool) -> RawAnswer | Failure:
--- a/tests/adapter/test_configuration.py
+++ b/tests/adapter/test_configuration.py
@@ -31,7 +31,7 @@
     def test_route_is_decoded(self):
         routes = read_routes(configuration(PATH)).unwrap()
         self.assertEqual(routes.version, 7)
-        self.assertEqual(routes.connections_by_service, {"billing": 396})
+        self.assertEqual(routes.body_max_bytes, 1000)
         route = routes.find("h.example", "/a/b")
         self.assertEqual((route.timeout, route.aim, route.attempts), (1.2, 0.3, 2))
         self.assertEqual((route.row.rank, route.row.effect), (2, Effect.ONCE))
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -103,13 +103,10 @@
             heartbeat_address=f"{self.host}:{free_port(self.host)}",
             link_address=f"{self.host}:{free_port(self.host)}",
             store_address=self.store,
-            store_writes=100.0,
-            store_reads=100.0,
             stop_seconds=4.0,
             repeat_ratio=0.2,
             repeat_window=10.0,
             repeat_slack=1_000_000.0,
-            descriptors_max=1000,
         )
         self.log = os.open(os.devnull, os.O_WRONLY)
         self.node = MeshNode(self.settings, self.log)
--- a/tests/mesh/test_exchange.py
+++ b/tests/mesh/test_exchange.py
@@ -48,7 +48,7 @@
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
         host, port = server.sockets[0].getsockname()
-        pool = UpstreamPool(f"{host}:{port}", 4)
+        pool = UpstreamPool(f"{host}:{port}")
         self.addCleanup(pool.close)
         return pool
 
@@ -113,5 +113,5 @@
     async def test_refused_connection_is_not_sent(self):
         with socket.create_server(("127.0.0.1", 0)) as closed:
             port = closed.getsockname()[1]
-        pool = UpstreamPool(f"127.0.0.1:{port}", 4)
+        pool = UpstreamPool(f"127.0.0.1:{port}")
         self.assertIs(await pool.exchange(REQUEST, is_repeatable=False), Failure.NOT_SENT)
--- /dev/null
+++ b/tests/mesh/test_routes.py
@@ -0,0 +1,34 @@
+"""Splits keep their shares, and versions never go back."""
+
+import random
+import unittest
+from collections import Counter
+
+from bamboojunction.core.routes import Part, Route, RouteHolder, Routes
+from bamboojunction.core.table.rows import Effect, Row
+
+
+def split(**weights: float) -> Route:
+    parts = tuple(Part(service, weight) for service, weight in weights.items())
+    return Route("h", "/a/", Row("k", 0, 1, Effect.IDEMPOTENT, 1000), 1.0, 0.5, parts)
+
+
+class RouteHolderTests(unittest.TestCase):
+    def test_parts_get_their_shares_at_one_node(self):
+        holder = RouteHolder(random.Random(1))
+        route = split(x=90, y=10)
+        picked = Counter(holder.pick(route) for _ in range(1_000))
+        self.assertAlmostEqual(picked["y"] / 1_000, 0.1, delta=0.01)
+
+    def test_parts_get_their_shares_over_many_nodes_with_few_requests(self):
+        route = split(x=90, y=10)
+        holders = [RouteHolder(random.Random(seed)) for seed in range(300)]
+        picked = Counter(holder.pick(route) for holder in holders for _ in range(2))
+        self.assertAlmostEqual(picked["y"] / 600, 0.1, delta=0.05)
+
+    def test_older_version_is_not_taken(self):
+        holder = RouteHolder()
+        self.assertTrue(holder.offer(Routes(version=5)))
+        self.assertFalse(holder.offer(Routes(version=4)))
+        self.assertFalse(holder.offer(Routes(version=5)))
+        self.assertEqual(holder.routes.version, 5)
--- a/tests/platform_store/test_budget.py
+++ b/tests/platform_store/test_budget.py
@@ -6,7 +6,7 @@
 
 from bamboo_standins.memory_platform import MemoryPlatformClient, SharedPlatform
 from bamboo_standins.paused_clock import paused
-from bamboojunction.platform.budget import (
+from bamboojunction.core.platform_budget import (
     BACKOFF_MAX_SECONDS,
     FLEET_READS_PER_SECOND,
     FLEET_WRITES_PER_SECOND,
@@ -15,7 +15,7 @@
     Backoff,
     CallBudget,
 )
-from bamboojunction.platform.paced import PacedPlatformClient
+from bamboojunction.node.paced import PacedPlatformClient
 
 FLEET_SIZE = 950
 
