--- a/bamboojunction/mesh/face.py
+++ b/bamboojunction/mesh/face.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Awaitable
-from urllib.parse import unquote
 
 from result import Err, Ok
 
@@ -16,7 +15,7 @@
 from bamboojunction.core.routes import Route, RouteHolder
 from bamboojunction.mesh.forwarding import Forwarder
 from bamboojunction.mesh.gate import MeshGate
-from bamboojunction.mesh.neighbour import Neighbour
+from bamboojunction.mesh.neighbour import Change, Neighbour
 from bamboojunction.platform import heartbeats, requests
 from bamboojunction.platform.requests import Answer, CallerHeaders
 from bamboojunction.telemetry.events import EventLog
@@ -80,10 +79,10 @@
             body = await _read_body(receive, self._holder.routes.body_max_bytes)
         except CallerWentAwayError:
             return Answer(400, (), b"")
-        match heartbeats.read_report(scope["method"], unquote(scope["path"]), body or b""):
+        match heartbeats.read_report(scope["method"], scope["path"], body or b""):
             case Ok(report):
                 change = self._neighbour.take(report)
-                if change.name != "NONE":
+                if change is not Change.NONE:
                     latest = self._neighbour.latest
                     self._events.upstream_changed(
                         change.name.lower(),
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -8,7 +8,7 @@
 from bamboojunction.callers.server import HttpServer, listen
 from bamboojunction.conf.addresses import split_address
 from bamboojunction.conf.settings import LinkSettings
-from bamboojunction.core.clock import TICK_SECONDS, PauseDetector
+from bamboojunction.core.clock import PAUSE_MIN_SECONDS, TICK_SECONDS, PauseDetector
 from bamboojunction.core.membership.absence import Absence
 from bamboojunction.core.membership.view import Announcement, InstanceState, MembershipView
 from bamboojunction.core.retries.fleet_budget import RepeatBounds
@@ -255,7 +255,7 @@
             now = time.clock_gettime(time.CLOCK_BOOTTIME)
             pause = max(pause, now - booted - 2 * TICK_SECONDS)
             booted = now
-            if pause > 0.25:
+            if pause >= PAUSE_MIN_SECONDS:
                 self.events.paused(pause)
 
 
--- a/bamboojunction/platform/heartbeats.py
+++ b/bamboojunction/platform/heartbeats.py
@@ -1,7 +1,6 @@
 """The heartbeats of the upstream beside a node, decoded from its calls."""
 
 from dataclasses import dataclass
-from urllib.parse import unquote
 
 import msgspec
 from result import Err, Ok, Result
@@ -47,10 +46,10 @@
 
 
 def read_report(method: str, path: str, body: bytes) -> Result[Heartbeat | Departure, str]:
-    """Decode a call of an upstream, or say why it names none."""
+    """Decode a call of an upstream, or say why it names none; ``path`` is unquoted."""
     if not path.startswith(PREFIX) or len(path) == len(PREFIX):
         return Err("unknown path")
-    instance_id = unquote(path[len(PREFIX) :])
+    instance_id = path[len(PREFIX) :]
     match method:
         case "DELETE":
             return Ok(Departure(instance_id))
