--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -109,7 +109,7 @@
         addresses = (
             settings.caller_address,
             settings.ready_address,
-            settings.heartbeat_address,
+            settings.report_address,
         )
         sockets = [listen(*split_address(address)) for address in addresses]
         sockets.append(listen(host, metrics_port))
--- a/bamboojunction/platform/machine.py
+++ b/bamboojunction/platform/machine.py
@@ -72,7 +72,7 @@
     upstream_address: str
     caller_address: str
     ready_address: str
-    heartbeat_address: str
+    report_address: str
     link_address: str
     store_address: str
     stop_seconds: float
@@ -97,7 +97,7 @@
             upstream_address=machine.app_addr,
             caller_address=file.network.listen.outbound,
             ready_address=file.network.listen.ready,
-            heartbeat_address=file.network.listen.control,
+            report_address=file.network.listen.control,
             link_address=f"{machine.ip}:{file.network.port_range[0]}",
             store_address=store.address,
             stop_seconds=bounds.grace_s,
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -100,7 +100,7 @@
             upstream_address=address,
             caller_address=f"{self.host}:{free_port(self.host)}",
             ready_address=f"{self.host}:{free_port(self.host)}",
-            heartbeat_address=f"{self.host}:{free_port(self.host)}",
+            report_address=f"{self.host}:{free_port(self.host)}",
             link_address=f"{self.host}:{free_port(self.host)}",
             store_address=self.store,
             stop_seconds=4.0,
@@ -159,9 +159,7 @@
 
     async def beat(self, name: str, state: str = "ready") -> int:
         machine = self.machines[name]
-        url = (
-            f"http://{machine.settings.heartbeat_address}/instances/{machine.upstream.instance_id}"
-        )
+        url = f"http://{machine.settings.report_address}/instances/{machine.upstream.instance_id}"
         body = {
             "service": machine.upstream.service,
             "address": machine.settings.upstream_address,
