Kept a node running when its changed settings cannot be used

Cause: SIGHUP read the file with a function that ends the process on any fault. A file that is missing or half written at that moment ended the node. The settings are now checked before the start and at each reload; what cannot be used is logged and the old settings stay in force. bamboo-check-machine runs the same checks from the command line.

--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -15,28 +15,28 @@
 from pathlib import Path
 
 import uvloop
+from result import Err, Result
 
+from bamboojunction.checks.machine import check_machine
+from bamboojunction.checks.messages import has_errors
 from bamboojunction.mesh.process import MeshNode
 from bamboojunction.node.collection import tune_collection
-from bamboojunction.platform.machine import FILE_VARIABLE, MachineSettings, read_machine
+from bamboojunction.platform.machine import FILE_VARIABLE, MachineSettings, load_machine
 
 EXIT_BAD_SETTINGS = 2
 # The port of the metrics, which the deploy file names too; 0 takes any free one.
 METRICS_VARIABLE = "BAMBOO_METRICS_PORT"
 
 
-def load_machine() -> MachineSettings:
-    """Read the settings file that the platform names; exit with a message if it is wrong."""
-    path = os.environ.get(FILE_VARIABLE, "")
-    try:
-        text = Path(path).read_bytes()
-    except OSError as error:
-        sys.exit(f"settings file {path!r} cannot be read: {error}")
-    loaded = read_machine(text)
-    if loaded.is_err():
-        sys.stderr.write(f"{path}: {loaded.err()}\n")
-        sys.exit(EXIT_BAD_SETTINGS)
-    return loaded.ok()
+def load_checked() -> Result[MachineSettings, str]:
+    """Read the settings file that the platform names, or say what keeps a node from running."""
+    loaded = load_machine(Path(os.environ.get(FILE_VARIABLE, "")))
+    if isinstance(loaded, Err):
+        return loaded
+    messages = check_machine(loaded.ok())
+    if has_errors(messages):
+        return Err("; ".join(str(message) for message in messages))
+    return loaded
 
 
 async def run_node(settings: MachineSettings) -> None:
@@ -44,7 +44,7 @@
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     node = MeshNode(settings, sys.stdout.fileno(), int(os.environ.get(METRICS_VARIABLE, "0")))
-    loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(load_machine()))
+    loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(load_checked()))
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     await node.start()
@@ -64,7 +64,11 @@
 
 def main() -> None:
     """Run the node of the machine that the settings file describes."""
-    uvloop.run(_run_and_exit(load_machine()))
+    loaded = load_checked()
+    if isinstance(loaded, Err):
+        sys.stderr.write(f"{loaded.err()}\n")
+        sys.exit(EXIT_BAD_SETTINGS)
+    uvloop.run(_run_and_exit(loaded.ok()))
 
 
 if __name__ == "__main__":
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -5,6 +5,8 @@
 import secrets
 import time
 
+from result import Err, Result
+
 from bamboojunction.callers.server import HttpServer, listen
 from bamboojunction.conf.addresses import split_address
 from bamboojunction.conf.settings import LinkSettings
@@ -169,9 +171,12 @@
             self.events.close_cut()
         self.pool.close()
 
-    def reload(self, settings: MachineSettings) -> None:
-        """Take the settings that may change while the node runs."""
-        self.settings = settings
+    def reload(self, loaded: Result[MachineSettings, str]) -> None:
+        """Take the settings that may change while the node runs; keep the old ones if wrong."""
+        if isinstance(loaded, Err):
+            self.events.reload_failed(loaded.err())
+            return
+        settings = self.settings = loaded.ok()
         self.forwarder.change_bounds(repeat_bounds(settings))
         self.events.reloaded(stop_seconds=settings.stop_seconds)
 
--- a/bamboojunction/platform/machine.py
+++ b/bamboojunction/platform/machine.py
@@ -1,6 +1,7 @@
 """The settings file that the platform writes for a process, decoded into the product's terms."""
 
 from dataclasses import dataclass
+from pathlib import Path
 
 import msgspec
 from result import Err, Ok, Result
@@ -81,6 +82,15 @@
     repeat_slack: float
 
 
+def load_machine(path: Path) -> Result[MachineSettings, str]:
+    """Read the settings file, or say what is wrong with it; the text names the file."""
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        return Err(f"settings file cannot be read: {error}")
+    return read_machine(text).map_err(lambda problem: f"{path}: {problem}")
+
+
 def read_machine(text: bytes) -> Result[MachineSettings, str]:
     """Decode the settings file, or say which field is missing or wrong."""
     try:
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -59,6 +59,10 @@
         """Log that the settings were read again."""
         self._emit("node.reloaded", True, **pairs)
 
+    def reload_failed(self, problem: str) -> None:
+        """Log that the settings file has changed and cannot be used."""
+        self._emit("node.reload_failed", True, problem=problem)
+
     def paused(self, seconds: float) -> None:
         """Log that the process stood still."""
         self._emit("node.paused", True, seconds=seconds)
--- /dev/null
+++ b/tests/commands/test_check_machine.py
@@ -0,0 +1,61 @@
+"""The settings of a node on the platform are checked before it runs and when they change."""
+
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from result import Err, Ok
+
+from bamboojunction.checks.machine import check_machine
+from bamboojunction.management.commands.mesh import load_checked
+from bamboojunction.platform.machine import FILE_VARIABLE, read_machine
+from tests.adapter.test_machine import FILE
+
+PROGRAM = "from bamboojunction.management.commands.check_machine import main; import sys; sys.exit(main())"
+
+
+class CheckMachineTests(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings.yaml"
+
+    def ids(self, old: bytes, new: bytes) -> list[str]:
+        settings = read_machine(FILE.replace(old, new)).unwrap()
+        return [message.message_id for message in check_machine(settings)]
+
+    def run_program(self) -> subprocess.CompletedProcess:
+        return subprocess.run(
+            [sys.executable, "-c", PROGRAM, str(self.path)], capture_output=True, text=True
+        )
+
+    def test_valid_settings_have_no_message(self):
+        self.assertEqual(self.ids(b"", b""), [])
+
+    def test_each_fault_is_named(self):
+        self.assertEqual(self.ids(b"10.1.0.8:8304", b"10.1.0.8"), ["machine.E001"])
+        self.assertEqual(self.ids(b"10.1.0.8:8304", b"10.1.0.8:8302"), ["machine.E002"])
+        self.assertEqual(self.ids(b"budget_ratio: 0.2", b"budget_ratio: -1"), ["machine.E003"])
+        self.assertEqual(self.ids(b"grace_s: 6", b"grace_s: 2"), ["machine.W001"])
+
+    def test_program_says_whether_the_node_would_start(self):
+        self.path.write_bytes(FILE)
+        self.assertEqual(self.run_program().returncode, 0)
+        self.path.write_bytes(FILE.replace(b"10.1.0.8:8304", b"10.1.0.8"))
+        ended = self.run_program()
+        self.assertEqual(ended.returncode, 2)
+        self.assertIn("machine.E001", ended.stderr)
+        self.path.unlink()
+        self.assertEqual(self.run_program().returncode, 2)
+
+    def test_file_that_cannot_be_used_is_an_outcome(self):
+        with mock.patch.dict(os.environ, {FILE_VARIABLE: str(self.path)}):
+            self.assertIsInstance(load_checked(), Err)
+            self.path.write_bytes(FILE)
+            self.assertIsInstance(load_checked(), Ok)
+            self.path.write_bytes(FILE.replace(b"budget_window_s: 10", b"budget_window_s: 0"))
+            self.assertIn("machine.E003", load_checked().err())
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -2,8 +2,13 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
+from result import Err, Ok
+
+from bamboojunction.core.clock import TICK_SECONDS
 from bamboojunction.core.outcomes import NotRun, NotRunReason
+from bamboojunction.mesh.process import CALLERS_LEAVE_SECONDS
 from tests.mesh.fleet import MeshFleet, configuration, route
 
 
@@ -142,3 +147,11 @@
                 listed = (await self.fleet.client.list("upstreams")).unwrap()
                 names = [item.name for item in listed.objects]
                 await asyncio.sleep(0.02)
+
+    async def test_settings_that_cannot_be_used_change_nothing(self):
+        node = self.fleet.machines["a"].node
+        settings = node.settings
+        node.reload(Err("the file cannot be read"))
+        self.assertIs(node.settings, settings)
+        node.reload(Ok(replace(settings, stop_seconds=5.0)))
+        self.assertEqual(node.settings.stop_seconds, 5.0)
