Kept the node's tasks running after a fault, and removed only entries that the store holds

Cause: a node that knew a machine's entry from a peer only looked up the entry's version in the store and failed with KeyError. That ended the task that announces its upstream, silently and for good. Tasks that have to run as long as the node does are now started again, and each failure is logged as node.task_failed.

--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -22,6 +22,7 @@
 from bamboojunction.mesh.neighbour import Change, Neighbour
 from bamboojunction.mesh.peers import PeerNews
 from bamboojunction.mesh.registry import Registry
+from bamboojunction.mesh.tasks import keep_running
 from bamboojunction.nodes.convert import request_to_call
 from bamboojunction.nodes.handshake import Identity
 from bamboojunction.nodes.links import LinkPool
@@ -251,6 +252,9 @@
         call = request_to_call(request, now - self._pauses.age_max(now))
         return await self.gate.serve(call)
 
+    async def _remove_absent(self) -> None:
+        await self.registry.remove_absent(lambda: self._absence.absent(self._loop.time()))
+
     async def _watch_pauses(self) -> None:
         """Compare the steady clock's steps with boot time, which also counts suspended time."""
         booted = time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/bamboojunction/mesh/registry.py
+++ b/bamboojunction/mesh/registry.py
@@ -9,6 +9,7 @@
 
 from bamboojunction.core.membership.view import COLLECTION, Announcement, InstanceState
 from bamboojunction.core.routes import RouteHolder, Routes
+from bamboojunction.mesh.tasks import keep_running
 from bamboojunction.platform import configuration
 from bamboojunction.platform.client import (
     ObjectList,
@@ -115,8 +116,14 @@
         instances = Follower(
             COLLECTION, self._client, self._random, self._events, self._take_instances
         )
-        coroutines = (routes.run(), instances.run(), self._announce())
-        self._tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+        self._tasks = [
+            asyncio.create_task(keep_running(name, work, self._events))
+            for name, work in (
+                ("follow_routes", routes.run),
+                ("follow_instances", instances.run),
+                ("announce", self._announce),
+            )
+        ]
 
     async def close(self) -> None:
         """End the tasks and close the connections."""
@@ -174,10 +181,15 @@
 
     async def _remove(self, name: str) -> None:
         """Remove an announcement of a machine that is gone, unless it has changed meanwhile."""
-        result = await self._client.delete(COLLECTION, name, self._version_by_instance[name])
+        version = self._version_by_instance.get(name)
+        if version is None:
+            # Known from a peer only, or gone from the store already.
+            return
+        result = await self._client.delete(COLLECTION, name, version)
         self._events.announcement_removed(name, result.is_ok())
         if result.is_ok():
             self._by_instance.pop(name, None)
+            self._version_by_instance.pop(name, None)
 
     async def _write(self) -> bool:
         """Make one call that brings the store closer to what is wanted."""
@@ -226,8 +238,10 @@
         if whole:
             self._has_listed = True
             self._by_instance.clear()
+            self._version_by_instance.clear()
         for name in deleted:
             self._by_instance.pop(name, None)
+            self._version_by_instance.pop(name, None)
         for item in objects:
             announcement = _read_announcement(item)
             if announcement is None or announcement.instance != item.name:
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -63,6 +63,10 @@
         """Log that the settings file has changed and cannot be used."""
         self._emit("node.reload_failed", True, problem=problem)
 
+    def task_failed(self, task: str, problem: str) -> None:
+        """Log that a task of the node failed and is started again."""
+        self._emit("node.task_failed", True, task=task, problem=problem)
+
     def paused(self, seconds: float) -> None:
         """Log that the process stood still."""
         self._emit("node.paused", True, seconds=seconds)
--- a/tests/mesh/test_registry.py
+++ b/tests/mesh/test_registry.py
@@ -1,18 +1,100 @@
-"""The announcements that a node reads name each address once, by the latest start."""
+"""The announcements that a node reads, offers and removes."""
 
+import asyncio
+import os
+import random
 import unittest
 
+from result import Err, Ok
+
 from bamboojunction.core.membership.view import Announcement
-from bamboojunction.mesh.registry import without_superseded
+from bamboojunction.core.routes import RouteHolder
+from bamboojunction.mesh.registry import Registry, without_superseded
+from bamboojunction.mesh.tasks import RESTART_SECONDS, keep_running
+from bamboojunction.platform.client import PlatformError, PlatformErrorKind, PlatformObject
+from bamboojunction.telemetry.events import EventLog
+from bamboojunction.telemetry.output import LineOutput
 
 
 def entry(instance, address, started_at):
     return Announcement(instance, "inc", "menu", "lac", "nord", address, started_at)
 
 
+class WritingStore:
+    """Take writes, and never answer lists and watches."""
+
+    def __init__(self):
+        self.deleted: list[str] = []
+        self.written = asyncio.Event()
+
+    async def list(self, collection):
+        await asyncio.Event().wait()
+
+    async def put(self, collection, name, value, version):
+        self.written.set()
+        return Ok(PlatformObject(collection, name, 7, value))
+
+    async def delete(self, collection, name, version):
+        self.deleted.append(name)
+        return Err(PlatformError(PlatformErrorKind.UNAVAILABLE, ""))
+
+    async def close(self):
+        pass
+
+
+class FailureLog(EventLog):
+    """Keep the failures of tasks."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.failed: list[tuple[str, str]] = []
+
+    def task_failed(self, task, problem):
+        self.failed.append((task, problem))
+
+
 class SupersededTests(unittest.TestCase):
     def test_latest_start_at_an_address_wins(self):
         old, new = entry("a", "10.0.0.1:1", 100.0), entry("b", "10.0.0.1:1", 200.0)
         other = entry("c", "10.0.0.2:1", 50.0)
         found = without_superseded({item.instance: item for item in (new, old, other)})
         self.assertEqual(found, {"b": new, "c": other})
+
+
+class TaskTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.log = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, self.log)
+
+    async def test_entries_known_from_peers_only_are_not_removed_from_the_store(self):
+        store = WritingStore()
+        events = EventLog("n", LineOutput(self.log, 0.0))
+        registry = Registry(store, RouteHolder(), random.Random(1), events)
+        registry.own_name = "new"
+        registry.start()
+        self.addAsyncCleanup(registry.close)
+        registry.offer_instances([entry("old", "10.0.0.1:1", 1.0)])
+        registry.announce(entry("new", "10.0.0.1:1", 2.0))
+        await asyncio.wait_for(store.written.wait(), 5.0)
+        store.written.clear()
+        registry.announce(entry("new", "10.0.0.1:1", 3.0))
+        await asyncio.wait_for(store.written.wait(), 5.0)
+        self.assertEqual(store.deleted, [])
+
+    async def test_task_that_fails_is_logged_and_started_again(self):
+        events = FailureLog("n", LineOutput(self.log, 0.0))
+        runs = 0
+        is_running = asyncio.Event()
+
+        async def work():
+            nonlocal runs
+            runs += 1
+            if runs == 1:
+                raise KeyError("gone")
+            is_running.set()
+            await asyncio.Event().wait()
+
+        task = asyncio.create_task(keep_running("work", work, events))
+        await asyncio.wait_for(is_running.wait(), RESTART_SECONDS + 5.0)
+        task.cancel()
+        self.assertEqual(events.failed, [("work", "KeyError: 'gone'")])
