--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -128,28 +128,34 @@
         await self.link_server.start(*split_address(self.settings.link_address))
         self.server.start()
         self.registry.start()
+        work_by_name = {
+            "close_idle_links": self.links.close_idle,
+            "watch_pauses": self._watch_pauses,
+            "report_left_out": self.events.report_left_out,
+            "remove_absent": self._remove_absent,
+        }
         self._tasks = [
-            asyncio.create_task(self.links.close_idle()),
-            asyncio.create_task(self._watch_pauses()),
-            asyncio.create_task(self.events.report_left_out()),
-            asyncio.create_task(
-                self.registry.remove_absent(lambda: self._absence.absent(self._loop.time()))
-            ),
+            asyncio.create_task(keep_running(name, work, self.events))
+            for name, work in work_by_name.items()
         ]
         self.events.started(service=self.settings.service, data_centre=self.settings.data_centre)
 
     async def stop(self) -> None:
-        """Leave: no new callers, no new calls at the gate, finish what runs, then close."""
+        """Leave: no new callers, then no new calls at the gate, finish what runs, then close."""
         began = self._loop.time()
         end = began + self.settings.stop_seconds - CLOSE_SECONDS
         self.events.stopping(in_flight=self.face.in_flight)
         self.face.is_stopping = True
-        self.gate.stop()
         while self._loop.time() < end:
             is_left = self._loop.time() - began >= CALLERS_LEAVE_SECONDS
+            if is_left:
+                # Before, the process has to stay for its callers in any case.
+                self.gate.stop()
             if self._loop.time() - began >= REFUSE_SECONDS:
                 self.face.refuses_callers = True
             if is_left and not self.face.in_flight and not self.gate.report().in_flight:
+                # The listener stays open for a moment; what still comes must not be cut.
+                self.face.refuses_callers = True
                 break
             await asyncio.sleep(TICK_SECONDS)
         cut = self.face.in_flight + self.gate.report().in_flight
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -3,12 +3,13 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from result import Err, Ok
 
 from bamboojunction.core.clock import TICK_SECONDS
 from bamboojunction.core.outcomes import NotRun, NotRunReason
-from bamboojunction.mesh.process import CALLERS_LEAVE_SECONDS
+from bamboojunction.mesh.process import CALLERS_LEAVE_SECONDS, MeshNode
 from tests.mesh.fleet import MeshFleet, configuration, route
 
 
@@ -110,14 +111,27 @@
             self.assertEqual(status, 200)
         self.assertEqual(len(self.upstream("a").ran), before)
 
-    async def test_stopping_node_finishes_what_it_took_and_takes_nothing_at_its_gate(self):
+    async def test_stopping_node_serves_at_its_gate_until_its_callers_left(self):
+        await self.serve()
+        stopping = asyncio.create_task(self.fleet.machines["c"].node.stop())
+        await asyncio.sleep(0.1)
+        self.assertEqual(await self.fleet.ready("c"), 503)
+        await self.fleet.beat("c")
+        status, _, _ = await self.fleet.request("a", "/pay/x", "POST")
+        self.assertEqual(status, 200)
+        await stopping
+
+    async def test_stopping_node_finishes_what_it_took_and_then_takes_nothing_at_its_gate(self):
         await self.serve()
         self.upstream("c").hold.clear()
-        running = asyncio.create_task(self.fleet.request("a", "/pay/x", "POST"))
-        await self.fleet.wait_until(lambda: self.upstream("c").ran)
+        loop = asyncio.get_running_loop()
+        left = loop.time() + CALLERS_LEAVE_SECONDS + 2 * TICK_SECONDS
         stopping = asyncio.create_task(self.fleet.machines["a"].node.stop())
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(CALLERS_LEAVE_SECONDS - 0.8)
         self.assertEqual(await self.fleet.ready("a"), 503)
+        running = asyncio.create_task(self.fleet.request("a", "/pay/x", "POST"))
+        await self.fleet.wait_until(lambda: self.upstream("c").ran)
+        await asyncio.sleep(left - loop.time())
         await self.fleet.beat("a")
         before = len(self.upstream("a").ran)
         for _ in range(5):
@@ -128,6 +142,25 @@
         self.assertEqual((await running)[0], 200)
         await stopping
 
+    async def test_request_that_arrives_as_the_node_closes_is_refused(self):
+        await self.serve()
+        node = self.fleet.machines["c"].node
+        for name in ("a", "b"):
+            self.upstream(name).hold.clear()
+        close, requests = node.close, []
+
+        async def close_late():
+            requests.append(asyncio.create_task(self.fleet.request("c", "/menu/x")))
+            await asyncio.sleep(0.1)
+            await close()
+
+        with mock.patch.object(MeshNode, "close", lambda _: close_late()):
+            await node.stop()
+        status, headers, _ = await requests[0]
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(self.upstream("a").ran + self.upstream("b").ran, [])
+
     async def test_caller_that_leaves_ends_the_work(self):
         await self.serve()
         self.upstream("c").hold.clear()
