Gathered changes of instances, and let pauses to a silent store grow

Each of 82 nodes read each change of the instances by a call of its own, and nodes that the store turned away asked it about three times a second.

--- a/bamboojunction/mesh/registry.py
+++ b/bamboojunction/mesh/registry.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from bamboojunction.core.membership.view import COLLECTION, Announcement, InstanceState
+from bamboojunction.core.retries.pauses import GrowingPause
 from bamboojunction.core.routes import RouteHolder, Routes
 from bamboojunction.mesh.tasks import keep_running
 from bamboojunction.platform import configuration
@@ -22,12 +23,16 @@
 
 # One watch waits this long; a silent connection shows earlier, by keep-alive probes.
 WATCH_SECONDS = 15.0
-RETRY_SECONDS_MIN = 0.15
-RETRY_SECONDS_MAX = 0.6
+# Calls are priced also while the store refuses them. The longest pause lets a node write its entry
+# again soon after the store is back, before others take it for gone.
+RETRY_SECONDS_MIN = 0.2
+RETRY_SECONDS_MAX = 0.9
 # Each node looks this often for announcements that it could remove; the first one does it.
 ABSENCE_CHECK_SECONDS = 5.0
-# Changes that come close together are read in one call.
-GATHER_SECONDS = 0.03
+# Changes that come close together are read in one call. The configuration has to be in force within
+# seconds of its acknowledgement; an instance that left is found out by the refusal of its gate.
+ROUTES_GATHER_SECONDS = 0.1
+INSTANCES_GATHER_SECONDS = 1.0
 
 
 class Follower:
@@ -36,14 +41,16 @@
     def __init__(
         self,
         collection: str,
+        gather_seconds: float,
         client: PlatformClient,
         generator: random.Random,
         events: EventLog,
         take: Callable[[list[PlatformObject], list[str], bool], None],
     ):
         self._collection = collection
+        self._gather_seconds = gather_seconds
         self._client = client
-        self._random = generator
+        self._pause = GrowingPause(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, generator)
         self._events = events
         self._take = take
         self._revision: int | None = None
@@ -67,15 +74,16 @@
                     self._revision = max(self._revision, revision)
                     self._note(True)
                     self._take(changed, deleted, False)
-                    await asyncio.sleep(GATHER_SECONDS)
+                    await asyncio.sleep(self._gather_seconds)
                 case Err(error) if error.kind is PlatformErrorKind.COMPACTED:
                     self._revision = None
                 case Err(error):
                     self._note(False, f"{error.kind}: {error.detail}")
-                    pause = self._random.uniform(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX)
-                    await asyncio.sleep(pause)
+                    await asyncio.sleep(self._pause.next())
 
     def _note(self, is_reached: bool, detail: str = "") -> None:
+        if is_reached:
+            self._pause.reset()
         if is_reached is not self._is_reached:
             self._is_reached = is_reached
             self._events.store_reached(self._collection, is_reached, detail)
@@ -111,10 +119,20 @@
     def start(self) -> None:
         """Start the tasks."""
         routes = Follower(
-            configuration.KIND, self._client, self._random, self._events, self._take_routes
+            configuration.KIND,
+            ROUTES_GATHER_SECONDS,
+            self._client,
+            self._random,
+            self._events,
+            self._take_routes,
         )
         instances = Follower(
-            COLLECTION, self._client, self._random, self._events, self._take_instances
+            COLLECTION,
+            INSTANCES_GATHER_SECONDS,
+            self._client,
+            self._random,
+            self._events,
+            self._take_instances,
         )
         self._tasks = [
             asyncio.create_task(keep_running(name, work, self._events))
@@ -172,10 +190,10 @@
         while True:
             await self._own_changed.wait()
             self._own_changed.clear()
+            pause = GrowingPause(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, self._random)
             while self._wanted != self._written:
                 if not await self._write():
-                    pause = self._random.uniform(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX)
-                    await asyncio.sleep(pause)
+                    await asyncio.sleep(pause.next())
             for name in self._superseded():
                 await self._remove(name)
 
--- /dev/null
+++ b/tests/retries/test_pauses.py
@@ -0,0 +1,16 @@
+"""Pauses grow while nothing answers, and begin again after a success."""
+
+import random
+import unittest
+
+from bamboojunction.core.retries.pauses import SPREAD, GrowingPause
+
+
+class GrowingPauseTests(unittest.TestCase):
+    def test_pauses_double_up_to_the_longest(self):
+        pause = GrowingPause(0.2, 0.9, random.Random(1))
+        for expected in (0.2, 0.4, 0.8, 0.9, 0.9):
+            found = pause.next()
+            self.assertLessEqual(abs(found / expected - 1), SPREAD)
+        pause.reset()
+        self.assertLess(pause.next(), 0.2 * (1 + SPREAD) + 0.001)
