--- a/bamboojunction/nodes/link.py
+++ b/bamboojunction/nodes/link.py
@@ -1,8 +1,7 @@
 """One outgoing link: a WebSocket to a peer and the requests that wait on it."""
 
 import asyncio
-import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -40,6 +39,7 @@
     """Own one WebSocket to a peer and the requests that wait on it."""
 
     __slots__ = (
+        "_asides",
         "_connection",
         "_handlers",
         "_heartbeat_seconds",
@@ -47,8 +47,6 @@
         "_loop",
         "_pending_by_id",
         "_reader",
-        "_watchdog",
-        "_withdrawals",
         "last_used",
         "peer",
     )
@@ -62,11 +60,11 @@
         self._heartbeat_seconds = heartbeat_seconds
         self._loop = asyncio.get_running_loop()
         self._pending_by_id: dict[int, asyncio.Future] = {}
-        self._withdrawals: set[asyncio.Task] = set()
+        # Messages that are sent without anyone waiting for them.
+        self._asides: set[asyncio.Task] = set()
         self._last_received = self._loop.time()
         self.last_used = self._last_received
         self._reader = asyncio.create_task(self._read())
-        self._watchdog = asyncio.create_task(self._watch())
 
     @property
     def is_open(self) -> bool:
@@ -107,17 +105,14 @@
 
     async def close(self) -> None:
         """Close the WebSocket and end the tasks."""
-        self._watchdog.cancel()
         await self._connection.close()
-        await asyncio.gather(self._reader, self._watchdog, return_exceptions=True)
+        await asyncio.gather(self._reader, return_exceptions=True)
 
     def _withdraw(self, request_id: int) -> None:
         """Tell the peer without waiting: a stalled link must not hold up a caller's deadline."""
         if not self.is_open:
             return
-        task = asyncio.create_task(self.send(encode(Cancel(request_id))))
-        self._withdrawals.add(task)
-        task.add_done_callback(self._withdrawals.discard)
+        self._send_aside(self.send(encode(Cancel(request_id))))
 
     async def _read(self) -> None:
         try:
@@ -151,25 +146,26 @@
                 future.set_result(LinkFailure.LOST)
         self._pending_by_id.clear()
 
-    async def _watch(self) -> None:
-        """Abort the link when the peer stays silent for three heartbeats while requests wait."""
-        for token in itertools.count():
-            before = self._loop.time()
-            await asyncio.sleep(self._heartbeat_seconds)
-            now = self._loop.time()
-            # After a pause of this process its own silence says nothing about the peer.
-            if now - before > 2 * self._heartbeat_seconds:
-                self._last_received = now
-            if not self.is_open:
-                return
-            if self.is_busy and now - self._last_received > 3 * self._heartbeat_seconds:
-                self.abandon()
-                return
-            if not self.is_busy:
-                self._last_received = now
-            elif now - self._last_received >= self._heartbeat_seconds:
-                # An answer within the interval shows as much as an echo.
-                await self._send_heartbeat(token)
+    def check_silence(self, now: float, was_paused: bool, token: int) -> None:
+        """Abort the link when the peer stays silent for three heartbeats while requests wait.
+
+        The pool calls this once in each heartbeat interval. After a pause of this process its own
+        silence says nothing about the peer.
+        """
+        if was_paused or not self.is_busy:
+            self._last_received = now
+            return
+        silence = now - self._last_received
+        if silence > 3 * self._heartbeat_seconds:
+            self.abandon()
+        elif silence >= self._heartbeat_seconds:
+            # An answer within the interval shows as much as an echo.
+            self._send_aside(self._send_heartbeat(token))
+
+    def _send_aside(self, sending: Coroutine[None, None, object]) -> None:
+        task = asyncio.create_task(sending)
+        self._asides.add(task)
+        task.add_done_callback(self._asides.discard)
 
     async def _send_heartbeat(self, token: int) -> None:
         """Send within one interval: on a link with full buffers the wait would never end."""
--- a/bamboojunction/nodes/links.py
+++ b/bamboojunction/nodes/links.py
@@ -40,6 +40,7 @@
         "_settings",
         "_source_host",
         "_tasks",
+        "_watch",
         "is_far",
         "on_failure",
         "on_open",
@@ -55,6 +56,7 @@
         self._failed_at: dict[str, float] = {}
         self._ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
+        self._watch: asyncio.Task | None = None
         # Messages to far nodes are compressed, as bytes between data centres cost more than time.
         self.is_far: Callable[[str], bool] = lambda address: False
         self.on_failure: Callable[[str], None] = lambda address: None
@@ -151,9 +153,22 @@
             return None
         self._failed_at.pop(address, None)
         self._by_address[address] = link
+        if self._watch is None:
+            self._watch = self._spawn(self._watch_silence())
         self.on_open(address)
         return link
 
+    async def _watch_silence(self) -> None:
+        """Check all links once in each interval; a task for each link would cost more."""
+        interval = self._settings.heartbeat_seconds
+        for token in itertools.count():
+            before = self._loop.time()
+            await asyncio.sleep(interval)
+            now = self._loop.time()
+            was_paused = now - before > 2 * interval
+            for link in list(self._by_address.values()):
+                link.check_silence(now, was_paused, token)
+
     async def _shake_hands(self, address: str) -> Link | None:
         connection = await connect(
             f"ws://{address}/",
--- a/tests/links/test_stalls.py
+++ b/tests/links/test_stalls.py
@@ -29,7 +29,8 @@
         )
         await server.start(HOST, port)
         self.addAsyncCleanup(server.close)
-        self.proxy = FaultProxy(f"{HOST}:0", f"{HOST}:{port}")
+        self.server_address = f"{HOST}:{port}"
+        self.proxy = FaultProxy(f"{HOST}:0", self.server_address)
         self.address = f"{HOST}:{await self.proxy.start()}"
         self.addAsyncCleanup(self.proxy.stop)
         self.pool = LinkPool(Identity("peer", "incarnation", SECRET), settings, HOST)
@@ -72,3 +73,13 @@
         self.assertTrue(waiting in done and waiting.cancelled())
         self.assertFalse(all(task.done() for task in fill))
         await asyncio.gather(*fill)
+
+    async def test_links_share_one_check_for_silence(self):
+        await self.ask()
+        other = FaultProxy(f"{HOST}:0", self.server_address)
+        self.address = f"{HOST}:{await other.start()}"
+        self.addAsyncCleanup(other.stop)
+        await self.ask()
+        names = [task.get_coro().__qualname__ for task in asyncio.all_tasks()]
+        self.assertEqual(names.count("LinkPool._watch_silence"), 1, names)
+        self.assertEqual(names.count("Link._read"), 2, names)
