--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -13,6 +13,9 @@
 from bamboojunction.telemetry.output import LineOutput
 
 REPORT_SECONDS = 1.0
+# Lines are written together, as each write costs a system call. A process that is killed loses the
+# lines of this time.
+FLUSH_SECONDS = 0.1
 
 
 class EventLog:
@@ -21,16 +24,17 @@
     The volume of lines is bounded; what is left out is still counted.
     """
 
-    __slots__ = ("_instance", "_loop", "_output", "measures")
+    __slots__ = ("_instance", "_is_flush_due", "_loop", "_output", "measures")
 
     def __init__(self, instance: str, output: LineOutput):
         self._instance = instance
         self._output = output
+        self._is_flush_due = False
         self.measures = Measures()
         self._loop = asyncio.get_running_loop()
 
     async def report_left_out(self) -> None:
-        """Flush what waits and tell once a second how many lines were left out."""
+        """Tell once a second how many lines were left out, and write what waits."""
         while True:
             await asyncio.sleep(REPORT_SECONDS)
             self._output.flush()
@@ -50,6 +54,7 @@
     def stopped(self, **pairs: object) -> None:
         """Log the end of the process."""
         self._emit("node.stopped", True, **pairs)
+        self._output.flush()
 
     def close_cut(self) -> None:
         """Log that peers did not close their connections in time."""
@@ -181,6 +186,13 @@
         moment = f"{time.time():.3f}"
         line = format_pairs({"time": moment, "event": event, "node": self._instance, **pairs})
         self._output.write(f"{line}\n")
+        if not self._is_flush_due:
+            self._is_flush_due = True
+            self._loop.call_later(FLUSH_SECONDS, self._flush)
+
+    def _flush(self) -> None:
+        self._is_flush_due = False
+        self._output.flush()
 
 
 def outcome_text(outcome: Outcome) -> str:
--- a/bamboojunction/telemetry/measures.py
+++ b/bamboojunction/telemetry/measures.py
@@ -21,6 +21,7 @@
         "_lines_left_out",
         "_registry",
         "_seconds",
+        "_series",
         "_state",
         "read_state",
     )
@@ -28,6 +29,8 @@
     def __init__(self):
         self._registry = CollectorRegistry()
         self._kinds: set[str] = set()
+        # Looking a series up by its labels costs more than counting.
+        self._series: dict[tuple, Counter | Histogram] = {}
         self._answers = self._counter("answers", "Answers to callers.", ("kind", "status"))
         self._attempts = self._counter(
             "attempts", "Attempts by outcome and what followed.", ("service", "outcome", "step")
@@ -51,20 +54,20 @@
     def answered(self, kind: str, status: int, seconds: float) -> None:
         """Count an answer to a caller."""
         kind = self._label(kind)
-        self._answers.labels(kind, str(status)).inc()
-        self._seconds.labels(kind, "whole").observe(seconds)
+        self._of(self._answers, kind, status).inc()
+        self._of(self._seconds, kind, "whole").observe(seconds)
 
     def attempt_ended(self, service: str, outcome: str, step: str) -> None:
         """Count an attempt."""
-        self._attempts.labels(service, outcome, step).inc()
+        self._of(self._attempts, service, outcome, step).inc()
 
     def served(self, kind: str, outcome: str, queued: float, upstream: float) -> None:
         """Count an answer of the gate; the times in the queue and at the upstream in seconds."""
         kind = self._label(kind)
-        self._gate_answers.labels(kind, outcome).inc()
-        self._seconds.labels(kind, "queue").observe(max(0.0, queued))
+        self._of(self._gate_answers, kind, outcome).inc()
+        self._of(self._seconds, kind, "queue").observe(max(0.0, queued))
         if upstream > 0:
-            self._seconds.labels(kind, "upstream").observe(upstream)
+            self._of(self._seconds, kind, "upstream").observe(upstream)
 
     def lines_left_out(self, lines: int) -> None:
         """Count log lines that had no room."""
@@ -79,6 +82,12 @@
     def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
         return Counter(f"bamboo_{name}", text, labels, registry=self._registry)
 
+    def _of(self, metric: Counter | Histogram, *labels: object) -> Counter | Histogram:
+        series = self._series.get((metric, labels))
+        if series is None:
+            series = self._series[metric, labels] = metric.labels(*labels)
+        return series
+
     def _label(self, kind: str) -> str:
         if kind in self._kinds:
             return kind
--- a/bamboojunction/telemetry/output.py
+++ b/bamboojunction/telemetry/output.py
@@ -1,7 +1,6 @@
 """Output of log lines that never blocks the event loop, with bounded memory and volume."""
 
 import os
-from collections import deque
 
 LINES_PER_SECOND = 200.0
 LINES_BURST = 400.0
@@ -16,12 +15,11 @@
     ``left_out`` counts the lines lost since the last report.
     """
 
-    __slots__ = ("_descriptor", "_pending", "_pending_bytes", "_tokens", "_updated_at", "left_out")
+    __slots__ = ("_descriptor", "_pending", "_tokens", "_updated_at", "left_out")
 
     def __init__(self, descriptor: int, now: float):
         self._descriptor = descriptor
-        self._pending: deque[bytes] = deque()
-        self._pending_bytes = 0
+        self._pending = bytearray()
         self._tokens = LINES_BURST
         self._updated_at = now
         self.left_out = 0
@@ -33,34 +31,26 @@
         self._tokens = min(LINES_BURST, self._tokens + max(0.0, earned))
         self._updated_at = now
         floor = 0.0 if is_important else RESERVED_LINES
-        if self._tokens - 1.0 < floor or self._pending_bytes > PENDING_BYTES_MAX:
+        if self._tokens - 1.0 < floor or len(self._pending) > PENDING_BYTES_MAX:
             self.left_out += 1
             return False
         self._tokens -= 1.0
         return True
 
     def write(self, text: str) -> None:
-        """Queue a line and write as much as the descriptor takes now."""
-        line = text.encode()
-        self._pending.append(line)
-        self._pending_bytes += len(line)
-        self.flush()
+        """Queue a line until the next flush."""
+        self._pending += text.encode()
 
     def flush(self) -> None:
         """Write what is pending, as far as the descriptor takes it."""
-        while self._pending:
-            line = self._pending[0]
-            try:
-                written = os.write(self._descriptor, line)
-            except BlockingIOError:
-                return
-            except OSError:
-                # Nobody reads the log any more; what waits would only use memory.
-                self._pending.clear()
-                self._pending_bytes = 0
-                return
-            self._pending_bytes -= written
-            if written < len(line):
-                self._pending[0] = line[written:]
-                return
-            self._pending.popleft()
+        if not self._pending:
+            return
+        try:
+            written = os.write(self._descriptor, self._pending)
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody reads the log any more; what waits would only use memory.
+            self._pending.clear()
+            return
+        del self._pending[:written]
--- a/tests/telemetry/test_output.py
+++ b/tests/telemetry/test_output.py
@@ -26,6 +26,7 @@
             for _ in range(int(LINES_PER_SECOND)):
                 if self.output.admits(float(second), True):
                     self.output.write(line)
+                    self.output.flush()
                     written += len(line)
         self.assertLessEqual(written, PENDING_BYTES_MAX + 65_536 + 2 * len(line))
         self.assertGreater(self.output.left_out, 0)
@@ -35,6 +36,7 @@
         for number, line in enumerate(lines):
             self.assertTrue(self.output.admits(float(number), True))
             self.output.write(line)
+        self.output.flush()
         read = b""
         while read.count(b"\n") < len(lines):
             read += os.read(self.reader, 65_536)
