Told the time on links, the repeats left and the ages of what a node knows in the metrics

The histogram of times now has the service and the part link; answers between nodes carry the time at the gate in whole milliseconds.

--- a/bamboojunction/mesh/forwarding.py
+++ b/bamboojunction/mesh/forwarding.py
@@ -15,6 +15,7 @@
 from bamboojunction.mesh.gate import MeshGate
 from bamboojunction.node.calling import AttemptProgress, CallRouter, KeyedSends
 from bamboojunction.nodes.links import LinkPool
+from bamboojunction.nodes.replies import GateReply
 from bamboojunction.telemetry.events import EventLog
 
 
@@ -54,6 +55,10 @@
         budget.nodes = self.nodes
         return budget
 
+    def repeats_left(self) -> int:
+        """Return how many repeats at all services were earned here and not spent yet."""
+        return sum(budget.left() for budget in self._budget_by_service.values())
+
     async def route(self, call: Call, row: Row, sends: KeyedSends | None = None) -> Outcome:
         """Attempt a request until it is settled or may not be sent again."""
         attempts = AttemptProgress(sends, only_untried=True)
@@ -87,6 +92,10 @@
             below, chain_rank(row.rank), call.root, now
         )
 
+    def _measure(self, call: Call, instance: str, reply: GateReply, elapsed: float) -> None:
+        if instance != self._instance and reply.gate_seconds:
+            self._events.measures.linked(call.kind, call.service, elapsed - reply.gate_seconds)
+
     def _learn(self, call: Call, instance: str, report: LoadReport, now: float) -> None:
         super()._learn(call, instance, report, now)
         parent = self._own_gate.parent_of(call.action) if call.depth else None
--- a/bamboojunction/mesh/gate.py
+++ b/bamboojunction/mesh/gate.py
@@ -131,8 +131,9 @@
         if self._is_stopping and isinstance(reply.outcome, NotRun):
             # The upstream stays; peers try again soon whether the next process is there.
             reply = self._refused(call, NotRun(NotRunReason.UNREACHABLE))
-        self._events.served(call, reply, self._loop.time() - started)
-        return reply
+        seconds = self._loop.time() - started
+        self._events.served(call, reply, seconds)
+        return GateReply(reply.outcome, reply.report, reply.service_seconds, seconds)
 
     async def _serve_or_refuse(self, call: Call) -> GateReply:
         if call.service != self._service or not self._neighbour.is_known:
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -202,6 +202,9 @@
             "gate_queued": report.queued,
             "gate_limit": report.limit,
             "upstream_connections_opened": self.pool.opened,
+            "repeats_left": self.forwarder.repeats_left(),
+            "configuration_age_seconds": self._loop.time() - self.registry.routes_taken_at,
+            "instances_age_seconds": self._loop.time() - self.registry.instances_taken_at,
         }
 
     def _upstream_changed(self, change: Change) -> None:
--- a/bamboojunction/mesh/registry.py
+++ b/bamboojunction/mesh/registry.py
@@ -114,6 +114,8 @@
         self.own_name = ""
         self.routes_value: dict | None = None
         self._has_listed = False
+        # When the configuration in force was taken, and when the store last told of instances.
+        self.routes_taken_at = self.instances_taken_at = self._loop.time()
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -159,6 +161,7 @@
         """Put a configuration in force if it is newer; ``value`` is what it was read from."""
         if self._holder.offer(routes):
             self.routes_value = value
+            self.routes_taken_at = self._loop.time()
             self._events.configuration_in_force(routes.version, source)
 
     def known(self) -> list[Announcement]:
@@ -253,6 +256,7 @@
     def _take_instances(
         self, objects: list[PlatformObject], deleted: list[str], whole: bool
     ) -> None:
+        self.instances_taken_at = self._loop.time()
         if whole:
             self._has_listed = True
             self._by_instance.clear()
--- a/bamboojunction/mesh/tasks.py
+++ b/bamboojunction/mesh/tasks.py
@@ -16,7 +16,8 @@
     while True:
         try:
             await work()
-        except Exception as error:  # noqa: BLE001 - whatever went wrong, the node goes on
+        except Exception as error:
+            # Whatever went wrong, the node goes on.
             events.task_failed(name, f"{type(error).__name__}: {error}")
             await asyncio.sleep(RESTART_SECONDS)
         else:
--- a/bamboojunction/node/calling.py
+++ b/bamboojunction/node/calling.py
@@ -192,10 +192,14 @@
                 now - started,
             )
             self._router.ended(end, now)
+            self._measure(call, instance, reply, now - started)
             if reply.report is not None:
                 self._learn(call, instance, reply.report, now)
         return reply.outcome
 
+    def _measure(self, call: Call, instance: str, reply: GateReply, elapsed: float) -> None:
+        """Take in the time of an attempt; a subclass may count it."""
+
     def _learn(self, call: Call, instance: str, report: LoadReport, now: float) -> None:
         """Take in the load report of an answer."""
         self._edge.learn(call.service, instance, report, now, call.depth)
--- a/bamboojunction/nodes/convert.py
+++ b/bamboojunction/nodes/convert.py
@@ -77,28 +77,38 @@
     """Return the answer that carries a gate's reply."""
     load = _load_to_wire(reply.report)
     seconds = reply.service_seconds
+    gate_ms = round(reply.gate_seconds * 1000)
     match reply.outcome:
         case Ran(status, headers, body, left):
-            verdict = int(Verdict.RAN)
-            return CallAnswer(
-                request_id, verdict, status, headers, body, "", 0.0, left, seconds, load
-            )
-        case NotRun(reason, retry_after, left):
-            verdict = int(Verdict.NOT_RUN)
-            return CallAnswer(
-                request_id, verdict, 0, (), b"", reason.value, retry_after, left, seconds, load
-            )
+            verdict, reason, wait = Verdict.RAN, "", 0.0
+        case NotRun(reason, wait, left):
+            verdict, status, headers, body = Verdict.NOT_RUN, 0, (), b""
+            reason = reason.value
         case Unknown(reason, left):
-            verdict = int(Verdict.UNKNOWN)
-            return CallAnswer(
-                request_id, verdict, 0, (), b"", reason.value, 0.0, left, seconds, load
-            )
+            verdict, status, headers, body, wait = Verdict.UNKNOWN, 0, (), b"", 0.0
+            reason = reason.value
+    return CallAnswer(
+        request_id,
+        int(verdict),
+        status,
+        headers,
+        body,
+        reason,
+        wait,
+        left,
+        seconds,
+        load,
+        gate_ms,
+    )
 
 
 def answer_to_reply(answer: CallAnswer) -> GateReply:
     """Return the reply that an answer carries; an answer that makes no sense is unknown."""
     return GateReply(
-        _answer_to_outcome(answer), _load_from_wire(answer.load), answer.service_seconds
+        _answer_to_outcome(answer),
+        _load_from_wire(answer.load),
+        answer.service_seconds,
+        answer.gate_ms / 1000,
     )
 
 
--- a/bamboojunction/nodes/messages.py
+++ b/bamboojunction/nodes/messages.py
@@ -76,7 +76,10 @@
 
 
 class CallAnswer(Message, tag=2):
-    """Answer a call request; ``reason`` is empty when the call ran."""
+    """Answer a call request; ``reason`` is empty when the call ran.
+
+    ``gate_ms`` is the time at the gate in whole milliseconds, which take few bytes.
+    """
 
     request_id: int
     verdict: int
@@ -88,6 +91,7 @@
     allowance_left: int
     service_seconds: float
     load: Load | None
+    gate_ms: int = 0
 
 
 class Cancel(Message, tag=3):
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -144,7 +144,9 @@
         """Log how this node's gate answered a call."""
         report = reply.report
         queued = seconds - reply.service_seconds
-        self.measures.served(call.kind, outcome_text(reply.outcome), queued, reply.service_seconds)
+        self.measures.served(
+            call.kind, call.service, outcome_text(reply.outcome), queued, reply.service_seconds
+        )
         self._emit(
             "gate.served",
             not _is_success(reply.outcome),
--- a/bamboojunction/telemetry/measures.py
+++ b/bamboojunction/telemetry/measures.py
@@ -42,7 +42,7 @@
         self._seconds = Histogram(
             "bamboo_seconds",
             "Time of a request by part of its path.",
-            ("kind", "part"),
+            ("kind", "service", "part"),
             buckets=SECONDS_BUCKETS,
             registry=self._registry,
         )
@@ -55,19 +55,23 @@
         """Count an answer to a caller."""
         kind = self._label(kind)
         self._of(self._answers, kind, status).inc()
-        self._of(self._seconds, kind, "whole").observe(seconds)
+        self._of(self._seconds, kind, "", "whole").observe(seconds)
 
     def attempt_ended(self, service: str, outcome: str, step: str) -> None:
         """Count an attempt."""
         self._of(self._attempts, service, outcome, step).inc()
 
-    def served(self, kind: str, outcome: str, queued: float, upstream: float) -> None:
+    def linked(self, kind: str, service: str, seconds: float) -> None:
+        """Count the time in seconds that an attempt spent on the way to a gate and back."""
+        self._of(self._seconds, self._label(kind), service, "link").observe(max(0.0, seconds))
+
+    def served(self, kind: str, service: str, outcome: str, queued: float, upstream: float) -> None:
         """Count an answer of the gate; the times in the queue and at the upstream in seconds."""
         kind = self._label(kind)
         self._of(self._gate_answers, kind, outcome).inc()
-        self._of(self._seconds, kind, "queue").observe(max(0.0, queued))
+        self._of(self._seconds, kind, service, "queue").observe(max(0.0, queued))
         if upstream > 0:
-            self._of(self._seconds, kind, "upstream").observe(upstream)
+            self._of(self._seconds, kind, service, "upstream").observe(upstream)
 
     def lines_left_out(self, lines: int) -> None:
         """Count log lines that had no room."""
--- a/tests/commands/test_check_machine.py
+++ b/tests/commands/test_check_machine.py
@@ -15,7 +15,13 @@
 from bamboojunction.platform.machine import FILE_VARIABLE, read_machine
 from tests.adapter.test_machine import FILE
 
-PROGRAM = "from bamboojunction.management.commands.check_machine import main; import sys; sys.exit(main())"
+PROGRAM = """
+import sys
+
+from bamboojunction.management.commands.check_machine import main
+
+sys.exit(main())
+"""
 
 
 class CheckMachineTests(unittest.TestCase):
