Handed frames of links over directly, and counted silence in intervals

Cause: each message went through a queue and a task that waits on it, and each request of a caller through two more tasks; a hop took 13 turns of the event loop, now 8. A link's silence was measured in time, so two slow turns of the loop could end a link whose answers were still unread; it is now counted in intervals that were not paused.

--- a/bamboojunction/mesh/face.py
+++ b/bamboojunction/mesh/face.py
@@ -169,15 +169,25 @@
 
     async def _watched(self, outcome: Awaitable[Outcome], receive) -> Outcome:
         """Wait for an outcome, and cancel the work when the caller goes away."""
-        task = asyncio.ensure_future(outcome)
+        # The work runs in this task: one of its own would cost turns of the event loop.
+        task = asyncio.current_task()
         watcher = asyncio.ensure_future(receive())
+        is_over = False
+
+        def leave(ended: asyncio.Future) -> None:
+            if not ended.cancelled() and not is_over:
+                task.cancel()
+
+        watcher.add_done_callback(leave)
         try:
-            await asyncio.wait((task, watcher), return_when=asyncio.FIRST_COMPLETED)
-            if not task.done():
-                raise CallerWentAwayError
-            return task.result()
+            return await outcome
+        except asyncio.CancelledError:
+            if watcher.done() and not watcher.cancelled():
+                task.uncancel()
+                raise CallerWentAwayError from None
+            raise
         finally:
-            task.cancel()
+            is_over = True
             watcher.cancel()
 
 
--- a/bamboojunction/nodes/link.py
+++ b/bamboojunction/nodes/link.py
@@ -5,13 +5,17 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from websockets.asyncio.client import ClientConnection
 from websockets.exceptions import WebSocketException
 from websockets.protocol import State
 
 from bamboojunction.nodes.codec import decode, encode
+from bamboojunction.nodes.frames import DirectClient, LinkClosedError
 from bamboojunction.nodes.messages import AnyMessage, CallAnswer, Cancel, Heartbeat, SealAnswer
 
+# Intervals without a word from the peer, each after a heartbeat but the first, that end a link.
+SILENT_INTERVALS_MAX = 4
+SEND_ERRORS = (WebSocketException, LinkClosedError, OSError, RuntimeError)
+
 MessageHandler = Callable[[str, AnyMessage], None]
 
 
@@ -43,16 +47,16 @@
         "_connection",
         "_handlers",
         "_heartbeat_seconds",
-        "_last_received",
         "_loop",
         "_pending_by_id",
-        "_reader",
+        "_silent_intervals",
+        "_was_heard",
         "last_used",
         "peer",
     )
 
     def __init__(
-        self, connection: ClientConnection, peer: str, handlers: Handlers, heartbeat_seconds: float
+        self, connection: DirectClient, peer: str, handlers: Handlers, heartbeat_seconds: float
     ):
         self.peer = peer
         self._connection = connection
@@ -62,9 +66,10 @@
         self._pending_by_id: dict[int, asyncio.Future] = {}
         # Messages that are sent without anyone waiting for them.
         self._asides: set[asyncio.Task] = set()
-        self._last_received = self._loop.time()
-        self.last_used = self._last_received
-        self._reader = asyncio.create_task(self._read())
+        self._was_heard = True
+        self._silent_intervals = 0
+        self.last_used = self._loop.time()
+        connection.deliver_to(self._receive, self.abandon)
 
     @property
     def is_open(self) -> bool:
@@ -84,9 +89,9 @@
         self._pending_by_id[request_id] = future
         self.last_used = self._loop.time()
         try:
-            await self._connection.send(frame)
+            await self._connection.send_frame(frame)
             return await future
-        except (WebSocketException, OSError):
+        except SEND_ERRORS:
             return LinkFailure.LOST
         except asyncio.CancelledError:
             self._withdraw(request_id)
@@ -98,15 +103,14 @@
         """Send a message that has no answer and return whether it left."""
         self.last_used = self._loop.time()
         try:
-            await self._connection.send(frame)
-        except (WebSocketException, OSError):
+            await self._connection.send_frame(frame)
+        except SEND_ERRORS:
             return False
         return True
 
     async def close(self) -> None:
-        """Close the WebSocket and end the tasks."""
+        """Close the WebSocket."""
         await self._connection.close()
-        await asyncio.gather(self._reader, return_exceptions=True)
 
     def _withdraw(self, request_id: int) -> None:
         """Tell the peer without waiting: a stalled link must not hold up a caller's deadline."""
@@ -114,18 +118,13 @@
             return
         self._send_aside(self.send(encode(Cancel(request_id))))
 
-    async def _read(self) -> None:
-        try:
-            async for frame in self._connection:
-                self._last_received = self._loop.time()
-                message = decode(frame).ok() if isinstance(frame, bytes) else None
-                if message is None:
-                    break
-                self._take(message)
-        except (WebSocketException, OSError):
-            pass
-        finally:
+    def _receive(self, frame: bytes) -> None:
+        self._was_heard = True
+        message = decode(frame).ok()
+        if message is None:
             self.abandon()
+        else:
+            self._take(message)
 
     def _take(self, message: AnyMessage) -> None:
         match message:
@@ -146,19 +145,20 @@
                 future.set_result(LinkFailure.LOST)
         self._pending_by_id.clear()
 
-    def check_silence(self, now: float, was_paused: bool, token: int) -> None:
+    def check_silence(self, was_paused: bool, token: int) -> None:
         """Abort the link when the peer stays silent for three heartbeats while requests wait.
 
-        The pool calls this once in each heartbeat interval. After a pause of this process its own
-        silence says nothing about the peer.
+        The pool calls this once in each heartbeat interval. Intervals are counted rather than
+        time: after a pause of this process what the peer sent meanwhile has not been read yet.
         """
-        if was_paused or not self.is_busy:
-            self._last_received = now
-            return
-        silence = now - self._last_received
-        if silence > 3 * self._heartbeat_seconds:
+        if was_paused or not self.is_busy or self._was_heard:
+            self._silent_intervals = 0
+        else:
+            self._silent_intervals += 1
+        self._was_heard = False
+        if self._silent_intervals >= SILENT_INTERVALS_MAX:
             self.abandon()
-        elif silence >= self._heartbeat_seconds:
+        elif self._silent_intervals:
             # An answer within the interval shows as much as an echo.
             self._send_aside(self._send_heartbeat(token))
 
--- a/bamboojunction/nodes/links.py
+++ b/bamboojunction/nodes/links.py
@@ -4,12 +4,13 @@
 import itertools
 from collections.abc import Callable
 
-from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
 from websockets.extensions.permessage_deflate import ClientPerMessageDeflateFactory
 
 from bamboojunction.conf.settings import LinkSettings
 from bamboojunction.nodes.codec import decode, encode
+from bamboojunction.nodes.frames import DirectClient, LinkClosedError
 from bamboojunction.nodes.handshake import Identity, is_proof, new_nonce, prove
 from bamboojunction.nodes.link import Handlers, Link, LinkFailure, MessageHandler
 from bamboojunction.nodes.messages import AnyMessage, CallAnswer, Hello, SealAnswer
@@ -145,7 +146,7 @@
         try:
             async with asyncio.timeout(self._settings.open_timeout_seconds):
                 link = await self._shake_hands(address)
-        except (WebSocketException, OSError, TimeoutError):
+        except (WebSocketException, LinkClosedError, OSError, TimeoutError):
             link = None
         if link is None:
             self._failed_at[address] = self._loop.time()
@@ -164,14 +165,14 @@
         for token in itertools.count():
             before = self._loop.time()
             await asyncio.sleep(interval)
-            now = self._loop.time()
-            was_paused = now - before > 2 * interval
+            was_paused = self._loop.time() - before > 2 * interval
             for link in list(self._by_address.values()):
-                link.check_silence(now, was_paused, token)
+                link.check_silence(was_paused, token)
 
     async def _shake_hands(self, address: str) -> Link | None:
         connection = await connect(
             f"ws://{address}/",
+            create_connection=DirectClient,
             compression=None,
             extensions=[FAR_COMPRESSION] if self.is_far(address) else None,
             ping_interval=None,
@@ -189,19 +190,19 @@
             return None
         return Link(connection, peer, self._handlers, self._settings.heartbeat_seconds)
 
-    async def _authenticate(self, connection: ClientConnection) -> str | None:
+    async def _authenticate(self, connection: DirectClient) -> str | None:
         """Return the instance at the other end, or None when it does not know the secret."""
         nonce = new_nonce()
-        await connection.send(encode(self._identity.hello(nonce)))
-        frame = await connection.recv()
-        hello = decode(frame).ok() if isinstance(frame, bytes) else None
+        await connection.send_frame(encode(self._identity.hello(nonce)))
+        frame = await connection.next_frame()
+        hello = decode(frame).ok()
         secret = self._identity.secret
         if not isinstance(hello, Hello) or not is_proof(
             hello.proof, secret, b"server", nonce, hello.nonce
         ):
             return None
         proof = prove(secret, b"client", nonce, hello.nonce)
-        await connection.send(encode(self._identity.hello(nonce, proof)))
+        await connection.send_frame(encode(self._identity.hello(nonce, proof)))
         return hello.instance
 
     def _spawn(self, coroutine) -> asyncio.Task:
--- a/bamboojunction/nodes/server.py
+++ b/bamboojunction/nodes/server.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from loguru import logger
-from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.asyncio.server import Server, serve
 from websockets.exceptions import WebSocketException
 from websockets.extensions.permessage_deflate import ServerPerMessageDeflateFactory
 
@@ -12,8 +12,9 @@
 from bamboojunction.core.outcomes import Unknown, UnknownReason
 from bamboojunction.nodes.codec import decode, encode
 from bamboojunction.nodes.convert import reply_to_answer
+from bamboojunction.nodes.frames import DirectServer, LinkClosedError
 from bamboojunction.nodes.handshake import Identity, is_proof, new_nonce, prove
-from bamboojunction.nodes.link import Handlers
+from bamboojunction.nodes.link import SEND_ERRORS, Handlers
 from bamboojunction.nodes.messages import (
     AnyMessage,
     CallRequest,
@@ -35,31 +36,39 @@
 class IncomingLink:
     """Serve the messages of one authenticated peer."""
 
-    __slots__ = ("_connection", "_handlers", "_on_call", "_on_seal", "_peer", "_tasks_by_id")
+    __slots__ = (
+        "_asides",
+        "_connection",
+        "_handlers",
+        "_on_call",
+        "_on_seal",
+        "_peer",
+        "_tasks_by_id",
+    )
 
     def __init__(self, connection, peer: str, on_call, on_seal, handlers: Handlers):
-        self._connection: ServerConnection = connection
+        self._connection: DirectServer = connection
         self._peer = peer
         self._on_call: CallHandler = on_call
         self._on_seal: SealHandler = on_seal
         self._handlers = handlers
         self._tasks_by_id: dict[int, asyncio.Task] = {}
+        self._asides: set[asyncio.Task] = set()
 
     async def run(self) -> None:
-        """Read messages until the link ends, then withdraw the peer's calls."""
+        """Take messages until the link ends, then withdraw the peer's calls."""
+        self._connection.deliver_to(self._receive, lambda: None)
         try:
-            async for frame in self._connection:
-                message = decode(frame).ok() if isinstance(frame, bytes) else None
-                if message is None:
-                    break
-                await self._take(message)
-        except (WebSocketException, OSError):
-            pass
+            await self._connection.wait_closed()
         finally:
-            for task in self._tasks_by_id.values():
+            for task in (*self._tasks_by_id.values(), *self._asides):
                 task.cancel()
 
-    async def _take(self, message: AnyMessage) -> None:
+    def _receive(self, frame: bytes) -> None:
+        message = decode(frame).ok()
+        if message is None:
+            self._connection.transport.abort()
+            return
         match message:
             case CallRequest():
                 self._start(message)
@@ -68,12 +77,24 @@
                 if task is not None:
                     task.cancel()
             case Heartbeat(token=token, echo=False):
-                await self._connection.send(encode(Heartbeat(token, True)))
+                self._answer_aside(Heartbeat(token, True))
             case Seal():
-                await self._connection.send(encode(self._on_seal(message)))
+                self._answer_aside(self._on_seal(message))
             case _:
                 self._handlers.dispatch(self._peer, message)
 
+    def _answer_aside(self, message: AnyMessage) -> None:
+        task = asyncio.create_task(self._send(encode(message)))
+        self._asides.add(task)
+        task.add_done_callback(self._asides.discard)
+
+    async def _send(self, frame: bytes) -> None:
+        try:
+            await self._connection.send_frame(frame)
+        except SEND_ERRORS:
+            # The peer treats the lost link as an unknown outcome.
+            return
+
     def _start(self, request: CallRequest) -> None:
         task = asyncio.create_task(self._serve(request))
         self._tasks_by_id[request.request_id] = task
@@ -86,12 +107,7 @@
             # The caller must not wait for an answer that never comes.
             logger.exception("event=call_failed request={}", request.action)
             reply = GateReply(Unknown(UnknownReason.LOST_UPSTREAM))
-        frame = encode(reply_to_answer(request.request_id, reply))
-        try:
-            await self._connection.send(frame)
-        except (WebSocketException, OSError):
-            # The peer treats the lost link as an unknown outcome.
-            return
+        await self._send(encode(reply_to_answer(request.request_id, reply)))
 
 
 class LinkServer:
@@ -120,6 +136,7 @@
             self._accept,
             host,
             port,
+            create_connection=DirectServer,
             compression=None,
             # Used on the links whose opener asks for it.
             extensions=[ServerPerMessageDeflateFactory(compress_settings=COMPRESS_SETTINGS)],
@@ -138,25 +155,25 @@
             self._server.close()
             await self._server.wait_closed()
 
-    async def _accept(self, connection: ServerConnection) -> None:
+    async def _accept(self, connection: DirectServer) -> None:
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_SECONDS):
                 peer = await self._shake_hands(connection)
-        except (WebSocketException, OSError, TimeoutError):
+        except (WebSocketException, LinkClosedError, OSError, TimeoutError):
             return
         if peer is None:
             return
         link = IncomingLink(connection, peer, self._on_call, self._on_seal, self._handlers)
         await link.run()
 
-    async def _shake_hands(self, connection: ServerConnection) -> str | None:
+    async def _shake_hands(self, connection: DirectServer) -> str | None:
         opening = await self._receive_hello(connection)
         if opening is None:
             return None
         secret = self._identity.secret
         nonce = new_nonce()
         proof = prove(secret, b"server", opening.nonce, nonce)
-        await connection.send(encode(self._identity.hello(nonce, proof)))
+        await connection.send_frame(encode(self._identity.hello(nonce, proof)))
         closing = await self._receive_hello(connection)
         if closing is None:
             return None
@@ -164,7 +181,6 @@
             return None
         return closing.instance
 
-    async def _receive_hello(self, connection: ServerConnection) -> Hello | None:
-        frame = await connection.recv()
-        message = decode(frame).ok() if isinstance(frame, bytes) else None
+    async def _receive_hello(self, connection: DirectServer) -> Hello | None:
+        message = decode(await connection.next_frame()).ok()
         return message if isinstance(message, Hello) else None
