Kept signals that come during a start until their handlers are set

Cause: SIGHUP that came before the node had set its handler ended the process; the imports take most of a start. Signals are now blocked from the first line until the node has started.

--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -5,12 +5,16 @@
 """
 
 import os
+import signal
+
+# A signal that comes before its handler is set would end the process; it waits until then.
+SIGNALS = frozenset({signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
 # libuv may use io_uring, which the platform rules out; it reads this before uvloop is imported.
 os.environ["UV_USE_IO_URING"] = "0"
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -49,6 +53,7 @@
         loop.add_signal_handler(signal_number, stop.set)
     await node.start()
     tune_collection()
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     await stop.wait()
     await node.stop()
 
--- /dev/null
+++ b/tests/commands/test_mesh_signals.py
@@ -0,0 +1,47 @@
+"""Signals that come while a node of the platform starts do not end it."""
+
+import asyncio
+import signal
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from bamboo_standins.fleet import free_port
+from bamboojunction.platform.machine import FILE_VARIABLE
+from tests.adapter.test_machine import FILE
+
+PROGRAM = "bamboojunction.management.commands.mesh"
+HOST = "127.0.0.1"
+
+
+class SignalTests(unittest.IsolatedAsyncioTestCase):
+    async def test_reload_during_the_start_waits_for_its_handler(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.yaml"
+            text = FILE.replace(b"10.1.0.8", HOST.encode()).replace(b"10.200.1.7", HOST.encode())
+            for port in (8301, 8302, 8304, 8306, 7620):
+                text = text.replace(str(port).encode(), str(free_port(HOST)).encode())
+            path.write_bytes(text)
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                PROGRAM,
+                env={FILE_VARIABLE: str(path)},
+                stdout=asyncio.subprocess.PIPE,
+            )
+            # The interpreter needs a moment before it runs the program's first lines.
+            await asyncio.sleep(0.15)
+            process.send_signal(signal.SIGHUP)
+            lines = []
+            try:
+                async with asyncio.timeout(20.0):
+                    while not any(b"node.reloaded" in line for line in lines):
+                        line = await process.stdout.readline()
+                        self.assertTrue(line, lines)
+                        lines.append(line)
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                await process.wait()
+        self.assertTrue(any(b"node.started" in line for line in lines))
