--- a/bamboojunction/callers/protocol.py
+++ b/bamboojunction/callers/protocol.py
@@ -6,6 +6,20 @@
 
 from bamboojunction.conf.settings import CallerSettings
 
+# The entry of a request's scope that is called when its caller goes away before the answer.
+ON_LEAVE = "bamboojunction.on_leave"
+
+
+class LeavingProtocol(HttpToolsProtocol):
+    """Tell a request at once that its caller went away, without a task that waits for it."""
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Call what the request under way has set."""
+        cycle = self.cycle
+        super().connection_lost(exc)
+        if cycle is not None and not cycle.response_complete and ON_LEAVE in cycle.scope:
+            cycle.scope[ON_LEAVE]()
+
 
 class BoundedProtocol(HttpToolsProtocol):
     """Refuse requests whose headers are too large and close those that do not arrive in time.
--- a/bamboojunction/mesh/face.py
+++ b/bamboojunction/mesh/face.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok
 
+from bamboojunction.callers.protocol import ON_LEAVE
 from bamboojunction.core.admission.reach import chain_rank
 from bamboojunction.core.calls import Call
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
@@ -145,7 +146,7 @@
             call.rank = route.row.rank if parent.rank is None else chain_rank(parent.rank)
         if is_client:
             self._forwarder.budget(call.service).requested(started)
-        outcome = await self._watched(self._forwarder.route(call, route.row), receive)
+        outcome = await self._watched(self._forwarder.route(call, route.row), scope)
         return requests.answer_of(outcome, headers.request_id)
 
     def _call(
@@ -167,28 +168,27 @@
             aim=route.aim,
         )
 
-    async def _watched(self, outcome: Awaitable[Outcome], receive) -> Outcome:
+    async def _watched(self, outcome: Awaitable[Outcome], scope: dict) -> Outcome:
         """Wait for an outcome, and cancel the work when the caller goes away."""
         # The work runs in this task: one of its own would cost turns of the event loop.
         task = asyncio.current_task()
-        watcher = asyncio.ensure_future(receive())
-        is_over = False
+        has_left = False
 
-        def leave(ended: asyncio.Future) -> None:
-            if not ended.cancelled() and not is_over:
-                task.cancel()
+        def leave() -> None:
+            nonlocal has_left
+            has_left = True
+            task.cancel()
 
-        watcher.add_done_callback(leave)
+        scope[ON_LEAVE] = leave
         try:
             return await outcome
         except asyncio.CancelledError:
-            if watcher.done() and not watcher.cancelled():
+            if has_left:
                 task.uncancel()
                 raise CallerWentAwayError from None
             raise
         finally:
-            is_over = True
-            watcher.cancel()
+            del scope[ON_LEAVE]
 
 
 class FacePorts:
--- a/bamboojunction/mesh/process.py
+++ b/bamboojunction/mesh/process.py
@@ -7,6 +7,7 @@
 
 from result import Err, Result
 
+from bamboojunction.callers.protocol import LeavingProtocol
 from bamboojunction.callers.server import HttpServer, listen
 from bamboojunction.conf.addresses import split_address
 from bamboojunction.conf.settings import LinkSettings
@@ -118,7 +119,7 @@
         sockets.append(listen(host, metrics_port))
         self.events.measures.read_state = self._state
         self.server = HttpServer(
-            self.face, sockets, http="httptools", timeout_keep_alive=KEEP_ALIVE_SECONDS
+            self.face, sockets, http=LeavingProtocol, timeout_keep_alive=KEEP_ALIVE_SECONDS
         )
         self._far_addresses: frozenset[str] = frozenset()
         self._tasks: list[asyncio.Task] = []
--- a/bamboojunction/telemetry/logs.py
+++ b/bamboojunction/telemetry/logs.py
@@ -55,7 +55,12 @@
 def _format_value(name: str, value: object) -> str:
     if name.lower() in SECRET_NAMES:
         return HIDDEN
-    text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    match value:
+        case float():
+            return f"{value:.6g}"
+        case int():
+            return str(value)
+    text = str(value)
     return text if PLAIN_VALUE.fullmatch(text) else json.dumps(text)
 
 
--- a/devtools/bamboo_bench/soak/machines.py
+++ b/devtools/bamboo_bench/soak/machines.py
@@ -1,6 +1,7 @@
 """The machines of a run: a node process each, beside an upstream in the process of the run."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import signal
@@ -150,9 +151,11 @@
         body = answer_body(request_id, request.path)
         response = web.Response(status=status, body=body, headers=headers)
         if self.spoils_answers:
-            await response.prepare(request)
-            await response.write_eof()
-            request.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore")
+            # The node may have closed the connection meanwhile.
+            with contextlib.suppress(ConnectionResetError):
+                await response.prepare(request)
+                await response.write_eof()
+                request.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore")
         return response
 
     async def _call_on(self, parent: str, remaining: float) -> int:
