--- a/devtools/bamboo_bench/soak/machines.py
+++ b/devtools/bamboo_bench/soak/machines.py
@@ -6,6 +6,7 @@
 import json
 import signal
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -51,7 +52,6 @@
         self._promises = promises
         self._clock = clock
         self._ids = itertools.count(1)
-        self._sequence = itertools.count(1)
         self._children = itertools.count(1)
         self._state = "ready"
         self._is_up = True
@@ -102,6 +102,7 @@
         self._state = "ready"
         self.drained_at = None
         self._sequence = itertools.count(1)
+        self._born_ms = time.time_ns() // 1_000_000
 
     async def _beat_on(self) -> None:
         while True:
@@ -121,7 +122,7 @@
             "state": state,
             "cold_left_ms": 0,
             "sequence": next(self._sequence),
-            "born": 1_700_000_000_000,
+            "born": self._born_ms,
         }
         try:
             async with self.session.request(method, url, json=body) as answer:
