--- a/devtools/bamboo_standins/fleet.py
+++ b/devtools/bamboo_standins/fleet.py
@@ -24,6 +24,8 @@
 from bamboojunction.platform.http import HttpPlatformClient
 
 READY_SECONDS = 30.0
+# What an error quotes of the log of a process that has ended.
+LOG_END_CHARACTERS = 600
 POLL_SECONDS = 0.05
 STOP_SECONDS = 30.0
 FIRST_DATA_CENTRE = 10
@@ -114,6 +116,7 @@
     _platform: asyncio.subprocess.Process | None = None
     _session: aiohttp.ClientSession | None = None
     _extra: list[asyncio.subprocess.Process] = field(default_factory=list)
+    _process_by_log: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
 
     async def start(self) -> None:
         """Start everything and wait until each node sees all others and the table."""
@@ -224,12 +227,15 @@
         self, name: str, condition: Callable[[dict], bool], seconds: float = READY_SECONDS
     ) -> dict:
         """Poll a node's state page until a condition holds."""
-        async with asyncio.timeout(seconds):
-            while True:
-                state = await self.state(name)
-                if state is not None and condition(state):
-                    return state
-                await asyncio.sleep(POLL_SECONDS)
+        try:
+            async with asyncio.timeout(seconds):
+                while True:
+                    state = await self.state(name)
+                    if state is not None and condition(state):
+                        return state
+                    await asyncio.sleep(POLL_SECONDS)
+        except TimeoutError:
+            raise TimeoutError(f"{name} is not in the state; {self._ended()}") from None
 
     async def state(self, name: str) -> dict | None:
         """Read a node's state page."""
@@ -373,22 +379,38 @@
     async def spawn(self, log_name: str, module: str, arguments: list[str]):
         """Start a Python module as a process whose output goes to a log file."""
         with (self.directory / f"{log_name}.log").open("ab") as log:
-            return await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", module, *arguments),
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "UV_USE_IO_URING": "0"},
             )
+        self._process_by_log[log_name] = process
+        return process
+
+    def _ended(self) -> str:
+        """Tell which of the latest processes have ended, with the end of their logs."""
+        ended = [name for name, process in self._process_by_log.items() if process.returncode]
+        logs = (
+            (self.directory / f"{name}.log").read_text()[-LOG_END_CHARACTERS:] for name in ended
+        )
+        return "; ".join(f"{name} ended: {log}" for name, log in zip(ended, logs, strict=True))
 
     async def wait_http(self, url: str) -> None:
         """Wait until a URL answers."""
-        async with asyncio.timeout(READY_SECONDS):
-            while True:
-                try:
-                    async with self._session.get(url):
-                        return
-                except aiohttp.ClientError:
-                    await asyncio.sleep(POLL_SECONDS)
+        try:
+            async with asyncio.timeout(READY_SECONDS):
+                await self._poll(url)
+        except TimeoutError:
+            raise TimeoutError(f"{url} gave no answer in time; {self._ended()}") from None
+
+    async def _poll(self, url: str) -> None:
+        while True:
+            try:
+                async with self._session.get(url):
+                    return
+            except aiohttp.ClientError:
+                await asyncio.sleep(POLL_SECONDS)
 
 
 def free_port(host: str) -> int:
