Blocked signals in the program of the node only, not in whoever imports it

Cause: the module blocked SIGHUP, SIGTERM and SIGINT when it was imported. A test imports it, so every process that the same test run started afterwards ignored SIGTERM. Before: test_check_machine and test_exports together fail with TimeoutError; after: they pass. The program itself runs the same statements as before.

--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -7,9 +7,10 @@
 import os
 import signal
 
-# A signal that comes before its handler is set would end the process; it waits until then.
 SIGNALS = frozenset({signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
-signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+if __name__ == "__main__":
+    # A signal that comes before its handler is set would end the process; it waits until then.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
 # libuv may use io_uring, which the platform rules out; it reads this before uvloop is imported.
 os.environ["UV_USE_IO_URING"] = "0"
--- a/tests/commands/test_mesh_signals.py
+++ b/tests/commands/test_mesh_signals.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -13,9 +14,19 @@
 
 PROGRAM = "bamboojunction.management.commands.mesh"
 HOST = "127.0.0.1"
+PRINT_BLOCKED = "print(signal.pthread_sigmask(signal.SIG_BLOCK, []))"
 
 
 class SignalTests(unittest.IsolatedAsyncioTestCase):
+    def test_importing_the_program_leaves_the_signals_of_the_process_alone(self):
+        blocked = subprocess.run(
+            [sys.executable, "-c", f"import signal, {PROGRAM}; {PRINT_BLOCKED}"],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual(blocked.stdout.strip(), "set()")
+
     async def test_reload_during_the_start_waits_for_its_handler(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "settings.yaml"
