--- a/tests/commands/test_counts.py
+++ b/tests/commands/test_counts.py
@@ -4,7 +4,7 @@
 
 from nose2.events import Plugin, PluginInterface, ResultSuccessEvent
 
-from tests.counts import Counts
+from tests.counts import Counts, split_entry
 
 
 class CountsTests(unittest.TestCase):
@@ -14,13 +14,25 @@
         unknown = set(own) - set(PluginInterface.methods) - set(vars(Plugin))
         self.assertEqual(unknown, set())
 
+    def test_entries_may_name_the_error(self):
+        test_id = "setUpClass (tests.x.Y)"
+        self.assertEqual(split_entry(f"{test_id} [TimeoutError]"), (test_id, "TimeoutError"))
+        self.assertEqual(split_entry(test_id), (test_id, ""))
+
     def test_only_listed_failures_are_let_through(self):
         counts = Counts.__new__(Counts)
-        counts.known_red = {"listed"}
+        counts.known_red = {"listed": "AssertionError", "any": ""}
         counts.passed = 3
-        for failed, expected in ((set(), None), ({"listed"}, True), ({"listed", "new"}, None)):
+        cases = (
+            ({}, None),
+            ({"listed": "AssertionError"}, True),
+            ({"any": "TimeoutError"}, True),
+            ({"listed": "TimeoutError"}, None),
+            ({"listed": "AssertionError", "new": "AssertionError"}, None),
+        )
+        for failed, expected in cases:
             with self.subTest(failed=failed):
-                counts.failed_ids = failed
+                counts.error_by_failed_id = failed
                 event = ResultSuccessEvent(None, None)
                 counts.wasSuccessful(event)
                 self.assertEqual(event.success, expected)
