--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -3,11 +3,11 @@
 import asyncio
 import itertools
 import os
-import socket
 
 import aiohttp
 from aiohttp import web
 
+from bamboo_standins.fleet import free_port
 from bamboo_standins.platform import PlatformStandIn
 from bamboojunction.mesh.process import MeshNode
 from bamboojunction.platform.http import HttpPlatformClient
@@ -17,11 +17,6 @@
 _hosts = itertools.count(1)
 
 
-def free_port(host: str) -> int:
-    with socket.create_server((host, 0)) as probe:
-        return probe.getsockname()[1]
-
-
 def route(name: str, prefix: str, service: str, **changes) -> dict:
     path = {
         "name": name,
