--- a/bamboojunction/core/routes.py
+++ b/bamboojunction/core/routes.py
@@ -23,7 +23,8 @@
 
     ``timeout`` is the longest time that a request may wait for its answer. ``goal_seconds`` is the
     latency goal: all answers within this time are equally good. Both are in seconds.
-    ``row`` holds the rank, the effect and the number of retries.
+    ``row`` holds the rank, the effect and the number of retries. A route without services is one
+    whose configuration cannot be read; its requests are refused.
     """
 
     host: str
--- a/bamboojunction/platform_node/app.py
+++ b/bamboojunction/platform_node/app.py
@@ -141,6 +141,9 @@
         route = routes.find(headers.host, scope["path"])
         if route is None:
             return requests.error_response(404, "no-route", headers.request_id)
+        if not route.weighted_services:
+            refusal = NotRun(NotRunReason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_AFTER_SECONDS)
+            return requests.outcome_response(refusal, headers.request_id)
         call = self._build_call(scope, headers, route, body, started)
         if parent is None:
             call.root_action, call.inherited_rank = call.action, route.row.rank
--- a/bamboojunction/platform_node/peer_sync.py
+++ b/bamboojunction/platform_node/peer_sync.py
@@ -72,9 +72,9 @@
         except msgspec.DecodeError as error:
             self._events.configuration_rejected(message.version, f"from {peer}: {error}")
             return
-        match configuration.read_routes(document):
-            case Ok(routes):
-                self._store_sync.offer_routes(routes, document, peer)
+        match configuration.decode_configuration(document):
+            case Ok(decoded):
+                self._store_sync.offer_configuration(decoded, peer)
             case Err(problem):
                 self._events.configuration_rejected(message.version, f"from {peer}: {problem}")
 
--- a/bamboojunction/platform_node/store_sync.py
+++ b/bamboojunction/platform_node/store_sync.py
@@ -9,7 +9,7 @@
 
 from bamboojunction.core.membership.view import ANNOUNCEMENT_COLLECTION, Announcement, InstanceState
 from bamboojunction.core.retries.exponential_backoff import ExponentialBackoff
-from bamboojunction.core.routes import CurrentRoutes, Routes
+from bamboojunction.core.routes import CurrentRoutes
 from bamboojunction.platform import configuration
 from bamboojunction.platform.client import (
     ObjectList,
@@ -18,6 +18,7 @@
     PlatformObject,
     WatchBatch,
 )
+from bamboojunction.platform.configuration import DecodedConfiguration
 from bamboojunction.platform_node.supervision import run_supervised
 from bamboojunction.telemetry.events import EventLog
 
@@ -168,12 +169,14 @@
         """Return the version of the active configuration, or 0 if there is none."""
         return self._current_routes.routes.version
 
-    def offer_routes(self, routes: Routes, document: dict, source: str) -> None:
-        """Activate a configuration if it is newer; ``document`` is it as the store holds it."""
-        if self._current_routes.replace_if_newer(routes):
-            self.routes_document = document
+    def offer_configuration(self, decoded: DecodedConfiguration, source: str) -> None:
+        """Activate a configuration if it is newer; ``source`` tells the log where it came from."""
+        if self._current_routes.replace_if_newer(decoded.routes):
+            self.routes_document = decoded.document
             self.routes_applied_at = self._loop.time()
-            self._events.configuration_applied(routes.version, source)
+            self._events.configuration_applied(decoded.routes.version, source)
+            if decoded.problems:
+                self._events.configuration_incomplete(decoded.routes.version, decoded.problems)
 
     def announcements(self) -> list[Announcement]:
         """Return all announcements that this node knows."""
@@ -267,9 +270,9 @@
         for item in objects:
             if item.name != configuration.OBJECT_NAME:
                 continue
-            match configuration.read_routes(item.value):
-                case Ok(routes):
-                    self.offer_routes(routes, item.value, "store")
+            match configuration.decode_configuration(item.value):
+                case Ok(decoded):
+                    self.offer_configuration(decoded, "store")
                 case Err(problem):
                     self._events.configuration_rejected(item.version, problem)
 
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import time
+from collections.abc import Sequence
 
 from bamboojunction.core.calls import Call
 from bamboojunction.core.outcomes import NotRun, Outcome, Ran, Unknown
@@ -16,6 +17,9 @@
 # Lines are written in batches, as each write is a system call. A process that is killed loses the
 # lines of up to this time.
 FLUSH_DELAY_SECONDS = 0.1
+# Bounds on the description of an incomplete configuration, which may have any number of entries.
+PROBLEMS_LOGGED_MAX = 5
+PROBLEM_LOGGED_CHARACTERS_MAX = 200
 
 
 class EventLog:
@@ -89,6 +93,15 @@
         """Log the configuration version that takes effect and where it came from."""
         self._emit("configuration.in_force", True, version=version, source=source)
 
+    def configuration_incomplete(self, version: int, problems: Sequence[str]) -> None:
+        """Log the entries of the active configuration that could not be read in full."""
+        logged = "; ".join(
+            problem[:PROBLEM_LOGGED_CHARACTERS_MAX] for problem in problems[:PROBLEMS_LOGGED_MAX]
+        )
+        self._emit(
+            "configuration.incomplete", True, version=version, count=len(problems), problems=logged
+        )
+
     def configuration_rejected(self, revision: int, problem: str) -> None:
         """Log that an invalid configuration was rejected."""
         self._emit("configuration.refused", True, revision=revision, problem=problem)
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -5,6 +5,7 @@
 """
 
 import tempfile
+import types
 import unittest
 from pathlib import Path
 
@@ -19,6 +20,7 @@
 from bamboojunction.links.codec import TYPE_BY_TAG, decode, encode
 from bamboojunction.links.convert import answer_to_reply
 from bamboojunction.links.messages import CallAnswer
+from bamboojunction.platform.configuration import decode_configuration
 from tests.processes.base import TABLE
 
 VALUES = st.recursive(
@@ -77,3 +79,34 @@
     def test_a_key_that_parses_renders_as_the_same_text(self, text):
         key = ActionKey.parse(text)
         self.assertTrue(key is None or ActionKey.parse(str(key)) == key)
+
+
+class ConfigurationTests(unittest.TestCase):
+    PATH = types.MappingProxyType(
+        {
+            "name": "r-1",
+            "path_prefix": "/a/",
+            "kind": "idempotent",
+            "timeout_ms": 1200,
+            "goal_ms": 300,
+            "priority": 1,
+            "service": "menu",
+            "attempts": 2,
+        }
+    )
+
+    @given(VALUES)
+    def test_any_value_is_decoded_or_refused(self, value):
+        decoded = decode_configuration(value)
+        self.assertTrue(decoded.is_ok() or "cannot be read" in decoded.err())
+
+    @given(st.sampled_from(sorted(PATH)), VALUES, st.booleans())
+    def test_a_damaged_path_entry_leaves_the_others_in_force(self, field, value, is_missing):
+        damaged = {**self.PATH, "name": "r-2", "path_prefix": "/b/", field: value}
+        if is_missing:
+            del damaged[field]
+        paths = [damaged, dict(self.PATH)]
+        document = {"version": 3, "vhosts": [value, {"host": "h.example", "paths": paths}]}
+        routes = decode_configuration(document).unwrap().routes
+        self.assertEqual(routes.version, 3)
+        self.assertEqual(routes.find("h.example", "/a/x").weighted_services[0].service, "menu")
