Served pipelined requests side by side and large bodies within a bound on memory

Cause: the platform node served callers through uvicorn, which works on the pipelined requests of a connection one after the other and tells only the last of them that the caller left. A slow request used up the time of those behind it (balance-view has 800 ms for itself and its calls), and the work on the first ones went on after the caller had gone. Bodies had no bound but the configured 64 MB each.

Change: the node has its own connections on httptools. The order of work is a decision without I/O (core/pipelining): idempotent requests run side by side, eight at most, others wait for those ahead, answers leave in order, and nothing behind a response that closes the connection is passed on. A disconnect cancels all requests of the caller. All bodies of a node together take a quarter of its memory limit at most; beyond it a request is refused as not run, and is answered while its body still arrives. Heads, trailers, idle and stalled connections are bounded.

A response of an upstream counts only if it carries the id of the request, a refusal too: with the old order of the two checks the new tests show a refusal that was written again taken for the next request's. A late copy of another answer is skipped and its connection dropped. A head, interim responses, body or trailer without end are cut at a bound, with an unknown outcome.

--- a/bamboojunction/callers/protocol.py
+++ b/bamboojunction/callers/protocol.py
@@ -1,4 +1,4 @@
-"""HTTP server protocols that detect disconnects and limit header size and request duration."""
+"""An HTTP server protocol that limits the size of the headers and the duration of a request."""
 
 import asyncio
 
@@ -6,20 +6,6 @@
 
 from bamboojunction.conf.settings import CallerSettings
 
-# Scope key of the callback that runs if the caller disconnects before the response is complete.
-ON_DISCONNECT = "bamboojunction.on_leave"
-
-
-class DisconnectAwareProtocol(HttpToolsProtocol):
-    """A protocol that reports a caller's disconnect at once, without a watcher task."""
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Call the disconnect callback of the current request, if it set one."""
-        cycle = self.cycle
-        super().connection_lost(exc)
-        if cycle is not None and not cycle.response_complete and ON_DISCONNECT in cycle.scope:
-            cycle.scope[ON_DISCONNECT]()
-
 
 class LimitingProtocol(HttpToolsProtocol):
     """A protocol that limits the size of the headers and the time a request may take to arrive.
--- a/bamboojunction/callers/server.py
+++ b/bamboojunction/callers/server.py
@@ -7,9 +7,9 @@
 import uvicorn
 
 from bamboojunction.callers.protocol import limiting_protocol
+from bamboojunction.callers.sockets import listen
 from bamboojunction.conf.settings import CallerSettings
 
-LISTEN_BACKLOG = 1024
 GRACEFUL_SHUTDOWN_SECONDS = 30
 
 
@@ -75,8 +75,3 @@
             http=limiting_protocol(settings),
             limit_concurrency=settings.connections_max,
         )
-
-
-def listen(host: str, port: int) -> socket.socket:
-    """Return a TCP socket that listens on an address."""
-    return socket.create_server((host, port), backlog=LISTEN_BACKLOG, reuse_port=False)
--- a/bamboojunction/platform/node_settings.py
+++ b/bamboojunction/platform/node_settings.py
@@ -10,6 +10,10 @@
 SETTINGS_FILE_VARIABLE = "BAMBOOJUNCTION_NODE_FILE"
 
 
+class _MachineLimits(msgspec.Struct):
+    memory_mb: float = 200.0
+
+
 class _Machine(msgspec.Struct):
     node: str
     zone: str
@@ -18,6 +22,7 @@
     service: str
     # The address of the upstream, which is reachable only from this machine.
     app_addr: str
+    limits: _MachineLimits = msgspec.field(default_factory=_MachineLimits)
 
 
 class _Listen(msgspec.Struct):
@@ -63,7 +68,7 @@
     """The settings of a node, as the platform provides them; times are in seconds.
 
     ``retry_ratio``, ``retry_slack`` and ``retry_window_seconds`` bound the retries that reach a
-    service, summed over all nodes.
+    service, summed over all nodes. ``memory_bytes`` is the memory limit of the process.
     """
 
     instance: str
@@ -80,6 +85,7 @@
     retry_ratio: float
     retry_window_seconds: float
     retry_slack: float
+    memory_bytes: int
 
 
 def load_node_settings(path: Path) -> Result[PlatformNodeSettings, str]:
@@ -114,5 +120,6 @@
             retry_ratio=bounds.budget_ratio,
             retry_window_seconds=bounds.budget_window_s,
             retry_slack=bounds.budget_slack,
+            memory_bytes=int(machine.limits.memory_mb * 1_000_000),
         )
     )
--- a/bamboojunction/platform/requests.py
+++ b/bamboojunction/platform/requests.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from bamboojunction.core.http_messages import HttpResponse
 from bamboojunction.core.outcomes import NotRun, Outcome, Ran, Unknown, UnknownReason
+from bamboojunction.upstreams.connection import ResponseOwner
 
 READY_PATH = "/readyz"
 _REQUEST_ID = "bamboojunction-request-id"
@@ -57,13 +59,19 @@
     )
     host = value_by_name.get("host", "")
     return CallerHeaders(
-        host=host.rpartition(":")[0] if ":" in host else host,
+        host=_without_port(host),
         request_id=value_by_name.get(_REQUEST_ID, ""),
         remaining_seconds=_seconds_from_milliseconds(value_by_name.get(_DEADLINE_MS)),
         forwarded=tuple(pair for pair in pairs if pair[0] not in dropped),
     )
 
 
+def host_of(raw: Iterable[tuple[bytes, bytes]]) -> str:
+    """Return the host of a caller's request, without a port; header names are in lower case."""
+    host = next((value for name, value in raw if name == b"host"), b"").decode("latin-1")
+    return _without_port(host)
+
+
 def upstream_headers(
     forwarded: Headers, remaining: float, instance_id: str, caller_service: str
 ) -> list[tuple[str, str]]:
@@ -81,6 +89,17 @@
     return next((value for name, value in headers if name == _REQUEST_ID), "")
 
 
+def response_owner(headers: Headers, request_id: str) -> ResponseOwner:
+    """Return whether a response answers the request with this id.
+
+    An upstream copies the id of the request into each response. A response without an id answers
+    no known request; it is returned for the pending one, so that its exchange ends.
+    """
+    if request_id_of(headers) in ("", request_id):
+        return ResponseOwner.THIS_REQUEST
+    return ResponseOwner.OTHER_REQUEST
+
+
 def is_refusal(status: int, headers: Headers) -> bool:
     """Return whether a response states that the upstream did not execute the request."""
     return status == _MISDIRECTED_STATUS or any(name == _NOT_EXECUTED for name, _ in headers)
@@ -98,16 +117,7 @@
     return tuple(pair for pair in headers if pair[0] not in dropped)
 
 
-@dataclass(slots=True, frozen=True)
-class Response:
-    """An HTTP response to a caller."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-def outcome_response(outcome: Outcome, request_id: str) -> Response:
+def outcome_response(outcome: Outcome, request_id: str) -> HttpResponse:
     """Return the response to a caller for an outcome.
 
     The node's own status 503 means that the request did not run; after 502 and 504 it may have
@@ -115,7 +125,7 @@
     """
     match outcome:
         case Ran(status=status, headers=headers, body=body):
-            return Response(status, headers, body)
+            return HttpResponse(status, headers, body)
         case NotRun(reason=reason, retry_after=retry_after):
             return _node_response(503, reason.value, request_id, max(0.0, retry_after))
         case Unknown(reason=UnknownReason.DEADLINE):
@@ -124,20 +134,24 @@
             return _node_response(502, reason.value, request_id)
 
 
-def error_response(status: int, reason: str, request_id: str) -> Response:
+def error_response(status: int, reason: str, request_id: str) -> HttpResponse:
     """Return the response to a request that the node rejects."""
     return _node_response(status, reason, request_id)
 
 
 def _node_response(
     status: int, reason: str, request_id: str, retry_after: float | None = None
-) -> Response:
+) -> HttpResponse:
     headers = [("content-type", "text/plain")]
     if request_id:
         headers.append((_REQUEST_ID, request_id))
     if retry_after is not None:
         headers.append(("retry-after", f"{retry_after:.3f}"))
-    return Response(status, tuple(headers), f"{reason}\n".encode())
+    return HttpResponse(status, tuple(headers), f"{reason}\n".encode())
+
+
+def _without_port(host: str) -> str:
+    return host.rpartition(":")[0] if ":" in host else host
 
 
 def _connection_options(value: str) -> frozenset[str]:
--- a/bamboojunction/platform_node/app.py
+++ b/bamboojunction/platform_node/app.py
@@ -1,21 +1,19 @@
-"""The ASGI app of a platform node: caller requests, readiness, metrics and upstream reports.
-
-Caller requests are served without a web framework, because the raw path, the headers and the
-response must be forwarded unchanged.
-"""
+"""The HTTP application of a platform node: caller requests, upstream reports and probes."""
 
 import asyncio
-from collections.abc import Awaitable
+from urllib.parse import unquote
 
 from result import Err, Ok
 
-from bamboojunction.callers.protocol import ON_DISCONNECT
+from bamboojunction.callers.connection import Rejection
 from bamboojunction.core.admission.dependencies import child_call_rank
 from bamboojunction.core.calls import Call
-from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
+from bamboojunction.core.http_messages import HttpRequest, HttpResponse, RawHeaders
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
 from bamboojunction.core.routes import CurrentRoutes, Route
+from bamboojunction.core.table.rows import Effect
 from bamboojunction.platform import heartbeats, requests
-from bamboojunction.platform.requests import CallerHeaders, Response
+from bamboojunction.platform.requests import CallerHeaders
 from bamboojunction.platform_node.forwarder import Forwarder
 from bamboojunction.platform_node.gate import PlatformNodeGate
 from bamboojunction.platform_node.local_upstream import LocalUpstream, UpstreamChange
@@ -24,15 +22,13 @@
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5
 # By then the caller reaches another node or the restarted process of this one.
 STOPPING_RETRY_AFTER_SECONDS = 0.3
+# By then some of the bodies that fill the memory have been passed on.
+MEMORY_RETRY_AFTER_SECONDS = 0.5
 METRICS_PATH = "/metrics"
 
 
-class CallerDisconnectedError(Exception):
-    """The caller closed its connection before it sent the whole request or got the response."""
-
-
 class PlatformNodeApp:
-    """The ASGI application of a node, which dispatches each request by the port it arrived on."""
+    """The application of a node, which dispatches each request by the port it arrived on."""
 
     def __init__(
         self,
@@ -56,31 +52,56 @@
         self.is_stopping = False
         self.is_refusing_callers = False
 
-    async def __call__(self, scope: dict, receive, send) -> None:
-        """Handle one HTTP request."""
-        port = scope["server"][1]
-        if port == self._ports.callers:
-            await self._serve_caller(scope, receive, send)
-        elif port in (self._ports.ready, self._ports.metrics):
-            await _respond(send, self._serve_probe(scope["path"]))
-        else:
-            await _respond(send, await self._handle_report(scope, receive))
-
-    def _serve_probe(self, path: str) -> Response:
+    @property
+    def body_max_bytes(self) -> int:
+        """Return the size of the largest body that the configuration allows."""
+        return self._current_routes.routes.body_max_bytes
+
+    def may_run_ahead(self, request: HttpRequest) -> bool:
+        """Return whether a pipelined request is idempotent."""
+        if request.port != self._ports.callers:
+            return False
+        route = self._find_route(requests.host_of(request.headers), request.target)
+        return route is not None and route.row.effect is Effect.IDEMPOTENT
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        if request.port == self._ports.callers:
+            return await self._serve_caller(request)
+        if request.port in (self._ports.ready, self._ports.metrics):
+            return self._serve_probe(_decoded_path(request.target))
+        return self._handle_report(request)
+
+    def reject(self, rejection: Rejection, headers: RawHeaders) -> HttpResponse:
+        """Return the response to a request that was not passed on."""
+        request_id = requests.read_caller_headers(headers).request_id
+        self._events.request_rejected(request_id, rejection.name.lower())
+        match rejection:
+            case Rejection.MALFORMED:
+                return requests.error_response(400, "malformed", request_id)
+            case Rejection.HEAD_TOO_LARGE:
+                return requests.error_response(431, "too-large", request_id)
+            case Rejection.BODY_TOO_LARGE:
+                return requests.error_response(413, "too-large", request_id)
+            case Rejection.OUT_OF_MEMORY:
+                refusal = NotRun(NotRunReason.FULL, MEMORY_RETRY_AFTER_SECONDS)
+                return requests.outcome_response(refusal, request_id)
+            case Rejection.INTERNAL_ERROR:
+                unknown = Unknown(UnknownReason.LOST_UPSTREAM)
+                return requests.outcome_response(unknown, request_id)
+
+    def _serve_probe(self, path: str) -> HttpResponse:
         if path == METRICS_PATH:
             text = self._events.prometheus_metrics.render()
-            return Response(200, (("content-type", "text/plain; version=0.0.4"),), text)
+            return HttpResponse(200, (("content-type", "text/plain; version=0.0.4"),), text)
         if path != requests.READY_PATH:
-            return Response(404, (), b"")
+            return HttpResponse(404)
         is_ready = not self.is_stopping and self._current_routes.routes.version > 0
-        return Response(200 if is_ready else 503, (), b"")
+        return HttpResponse(200 if is_ready else 503)
 
-    async def _handle_report(self, scope: dict, receive) -> Response:
-        try:
-            body = await _read_body(receive, self._current_routes.routes.body_max_bytes)
-        except CallerDisconnectedError:
-            return Response(400, (), b"")
-        match heartbeats.read_report(scope["method"], scope["path"], body or b""):
+    def _handle_report(self, request: HttpRequest) -> HttpResponse:
+        path = _decoded_path(request.target)
+        match heartbeats.read_report(request.method, path, request.body):
             case Ok(report):
                 change = self._local_upstream.apply(report)
                 if change is not UpstreamChange.NONE:
@@ -91,62 +112,57 @@
                         slots=latest.slots if latest else 0,
                         cold=latest.cold_seconds if latest else 0.0,
                     )
-                return Response(200, (("content-type", "application/json"),), b"{}")
+                return HttpResponse(200, (("content-type", "application/json"),), b"{}")
             case Err(problem):
-                self._events.upstream_report_rejected(scope["method"], scope["path"], problem)
-                return Response(400, (), b"")
+                self._events.upstream_report_rejected(request.method, path, problem)
+                return HttpResponse(400)
 
-    async def _serve_caller(self, scope: dict, receive, send) -> None:
+    async def _serve_caller(self, request: HttpRequest) -> HttpResponse:
         self.in_flight += 1
-        started = self._loop.time()
-        headers = requests.read_caller_headers(scope["headers"])
+        headers = requests.read_caller_headers(request.headers)
+        route = self._find_route(headers.host, request.target)
         try:
-            response = await self._handle_call(scope, headers, receive, started)
-        except (CallerDisconnectedError, asyncio.CancelledError):
-            self._events.request_cancelled(headers.request_id, self._loop.time() - started)
-            return
+            response = await self._handle_call(request, headers, route)
+        except asyncio.CancelledError:
+            self._events.request_cancelled(
+                headers.request_id, self._loop.time() - request.arrived_at
+            )
+            raise
         finally:
             self.in_flight -= 1
         self._events.request_answered(
             headers.request_id,
-            scope["path"],
-            self._kind_of_request(headers, scope["path"]),
+            _decoded_path(request.target),
+            "" if route is None else route.row.kind,
             response.status,
-            self._loop.time() - started,
+            self._loop.time() - request.arrived_at,
             self._current_routes.routes.version,
         )
-        await _respond(send, response, self.is_stopping)
+        return response
 
-    def _kind_of_request(self, headers: CallerHeaders, path: str) -> str:
-        route = self._current_routes.routes.find(headers.host, path)
-        return "" if route is None else route.row.kind
+    def _find_route(self, host: str, target: bytes) -> Route | None:
+        return self._current_routes.routes.find(host, _decoded_path(target))
 
     async def _handle_call(
-        self, scope: dict, headers: CallerHeaders, receive, started: float
-    ) -> Response:
-        routes = self._current_routes.routes
-        body = await _read_body(receive, routes.body_max_bytes)
-        if body is None:
-            return requests.error_response(413, "too-large", headers.request_id)
-        # The configuration may have changed while the body was read.
-        routes = self._current_routes.routes
-        if not routes.version:
-            refusal = NotRun(NotRunReason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_AFTER_SECONDS)
-            return requests.outcome_response(refusal, headers.request_id)
+        self, request: HttpRequest, headers: CallerHeaders, route: Route | None
+    ) -> HttpResponse:
         parent = self._gate.parent_of(headers.request_id)
         is_root_call = parent is None
         if self.is_refusing_callers and is_root_call:
             refusal = NotRun(NotRunReason.DRAINING, STOPPING_RETRY_AFTER_SECONDS)
             return requests.outcome_response(refusal, headers.request_id)
-        route = routes.find(headers.host, scope["path"])
-        if route is None:
+        if route is None and self._current_routes.routes.version:
             return requests.error_response(404, "no-route", headers.request_id)
-        if not route.weighted_services:
+        if route is None or not route.weighted_services:
             refusal = NotRun(NotRunReason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_AFTER_SECONDS)
             return requests.outcome_response(refusal, headers.request_id)
-        call = self._build_call(scope, headers, route, body, started)
+        call = self._build_call(request, headers, route)
+        if self._loop.time() >= call.deadline:
+            # The request waited for those ahead of it on its connection.
+            return requests.outcome_response(NotRun(NotRunReason.DEADLINE), headers.request_id)
         if parent is None:
             call.root_action, call.inherited_rank = call.action, route.row.rank
+            self._forwarder.budget(call.service).record_request(self._loop.time())
         else:
             call.root_action, call.depth = parent.root_action, parent.depth + 1
             call.inherited_rank = (
@@ -154,16 +170,10 @@
                 if parent.inherited_rank is None
                 else child_call_rank(parent.inherited_rank)
             )
-        if is_root_call:
-            self._forwarder.budget(call.service).record_request(started)
-        outcome = await self._await_until_disconnect(self._forwarder.route(call, route.row), scope)
+        outcome = await self._forwarder.route(call, route.row)
         return requests.outcome_response(outcome, headers.request_id)
 
-    def _build_call(
-        self, scope: dict, headers: CallerHeaders, route: Route, body: bytes, started: float
-    ) -> Call:
-        query = scope["query_string"]
-        path = scope["raw_path"] + (b"?" + query if query else b"")
+    def _build_call(self, request: HttpRequest, headers: CallerHeaders, route: Route) -> Call:
         timeout = (
             route.timeout
             if headers.remaining_seconds is None
@@ -173,38 +183,15 @@
             action=headers.request_id,
             kind=route.row.kind,
             service=self._current_routes.select_service(route),
-            deadline=started + timeout,
-            method=scope["method"],
-            path=path.decode("latin-1"),
+            deadline=request.arrived_at + timeout,
+            method=request.method,
+            path=request.target.decode("latin-1"),
             headers=headers.forwarded,
-            body=body,
+            body=request.body,
             caller_service=self._service,
             goal_seconds=route.goal_seconds,
         )
 
-    async def _await_until_disconnect(self, outcome: Awaitable[Outcome], scope: dict) -> Outcome:
-        """Await an outcome, and cancel the work if the caller disconnects."""
-        # The outcome is awaited in the current task, because a separate task would need additional
-        # event loop iterations.
-        task = asyncio.current_task()
-        is_disconnected = False
-
-        def on_disconnect() -> None:
-            nonlocal is_disconnected
-            is_disconnected = True
-            task.cancel()
-
-        scope[ON_DISCONNECT] = on_disconnect
-        try:
-            return await outcome
-        except asyncio.CancelledError:
-            if is_disconnected:
-                task.uncancel()
-                raise CallerDisconnectedError from None
-            raise
-        finally:
-            del scope[ON_DISCONNECT]
-
 
 class PlatformNodeAppPorts:
     """The ports that tell the type of a request; any other port takes upstream reports."""
@@ -217,29 +204,7 @@
         self.metrics = metrics
 
 
-async def _read_body(receive, body_max_bytes: int) -> bytes | None:
-    """Return the whole body, or None if it exceeds ``body_max_bytes``.
-
-    Raise ``CallerDisconnectedError`` if the caller disconnects first.
-    """
-    body = b""
-    while True:
-        message = await receive()
-        if message["type"] != "http.request":
-            raise CallerDisconnectedError
-        body += message.get("body", b"")
-        if len(body) > body_max_bytes:
-            return None
-        if not message.get("more_body", False):
-            return body
-
-
-async def _respond(send, response: Response, close_connection: bool = False) -> None:
-    headers = [
-        (name.encode("latin-1"), value.encode("latin-1")) for name, value in response.headers
-    ]
-    headers.append((b"content-length", str(len(response.body)).encode()))
-    if close_connection:
-        headers.append((b"connection", b"close"))
-    await send({"type": "http.response.start", "status": response.status, "headers": headers})
-    await send({"type": "http.response.body", "body": response.body})
+def _decoded_path(target: bytes) -> str:
+    """Return the percent-decoded path of a request target, without its query."""
+    path = target.partition(b"?")[0].decode("latin-1")
+    return unquote(path) if "%" in path else path
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -55,7 +55,11 @@
         request = render_request(call, headers)
         try:
             async with asyncio.timeout_at(call.deadline):
-                response = await self._pool.exchange(request, is_idempotent)
+                response = await self._pool.exchange(
+                    request,
+                    is_idempotent,
+                    lambda headers: requests.response_owner(headers, call.action),
+                )
         except TimeoutError:
             outcome, completion_status = Unknown(UnknownReason.DEADLINE), CompletionStatus.FAILED
         else:
@@ -71,15 +75,17 @@
                 return refusal, CompletionStatus.FAILED
             case ExchangeFailure.CLOSED:
                 return Unknown(UnknownReason.LOST_UPSTREAM), CompletionStatus.FAILED
+            case ExchangeFailure.OVERSIZED:
+                return Unknown(UnknownReason.TOO_LARGE), CompletionStatus.FAILED
             case ExchangeFailure():
                 return Unknown(UnknownReason.TRUNCATED), CompletionStatus.FAILED
+        if requests.request_id_of(response.headers) != call.action:
+            # Nothing proves that the response belongs to this request, not even a refusal.
+            return Unknown(UnknownReason.TRUNCATED), CompletionStatus.FAILED
         if requests.is_refusal(response.status, response.headers):
             if requests.is_misdirected(response.status):
                 self.on_misdirected_call()
             return NotRun(NotRunReason.UPSTREAM_REFUSED), CompletionStatus.OVERLOADED
-        if requests.request_id_of(response.headers) != call.action:
-            # The response belongs to another request.
-            return Unknown(UnknownReason.TRUNCATED), CompletionStatus.FAILED
         completion_status = (
             CompletionStatus.FAILED if response.status >= 500 else CompletionStatus.SUCCEEDED
         )
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -7,12 +7,14 @@
 
 from result import Err, Result
 
-from bamboojunction.callers.protocol import DisconnectAwareProtocol
-from bamboojunction.callers.server import HttpServer, listen
+from bamboojunction.callers.forwarding_server import ForwardingServer
+from bamboojunction.callers.sockets import listen
 from bamboojunction.conf.addresses import split_address
 from bamboojunction.conf.settings import LinkSettings
 from bamboojunction.core.membership.reachability import ConnectFailureTracker
 from bamboojunction.core.membership.view import Announcement, InstanceState, MembershipView
+from bamboojunction.core.memory_budget import MemoryBudget
+from bamboojunction.core.outcomes import NotRun, NotRunReason
 from bamboojunction.core.pause_detector import (
     PAUSE_CHECK_INTERVAL_SECONDS,
     PAUSE_MIN_SECONDS,
@@ -29,7 +31,11 @@
 from bamboojunction.links.server import LinkServer
 from bamboojunction.platform.http_client import HttpPlatformClient
 from bamboojunction.platform.node_settings import PlatformNodeSettings
-from bamboojunction.platform_node.app import PlatformNodeApp, PlatformNodeAppPorts
+from bamboojunction.platform_node.app import (
+    MEMORY_RETRY_AFTER_SECONDS,
+    PlatformNodeApp,
+    PlatformNodeAppPorts,
+)
 from bamboojunction.platform_node.forwarder import Forwarder
 from bamboojunction.platform_node.gate import PlatformNodeGate, UpstreamSender
 from bamboojunction.platform_node.local_upstream import LocalUpstream, UpstreamChange
@@ -53,9 +59,21 @@
 REFUSE_CALLERS_AFTER_SECONDS = 3.0
 # Part of the stop deadline that is reserved for closing connections.
 CLOSE_RESERVE_SECONDS = 0.8
+# The largest message on a link, which has to hold a call with its body. The memory for bodies is
+# bounded separately.
+LINK_FRAME_MAX_BYTES = 80_000_000
 LINK_SETTINGS = LinkSettings(
-    secret="", heartbeat_seconds=0.4, open_timeout_seconds=0.4, idle_close_seconds=60.0
+    secret="",
+    heartbeat_seconds=0.4,
+    open_timeout_seconds=0.4,
+    idle_close_seconds=60.0,
+    frame_max_bytes=LINK_FRAME_MAX_BYTES,
 )
+# Part of the process's memory limit that the bodies of requests and responses may take. A body has
+# up to two copies, as it is encoded for a link or for the upstream.
+BODY_MEMORY_SHARE = 0.25
+# Part of the memory for bodies that one response may take.
+RESPONSE_MEMORY_SHARE = 0.25
 
 
 class PlatformNode:
@@ -81,7 +99,9 @@
         self.links.on_connect_failed = lambda address: self._connect_failures.record_failure(
             address, self._loop.time()
         )
-        self.pool = UpstreamPool(settings.upstream_address)
+        self.body_memory = MemoryBudget(int(settings.memory_bytes * BODY_MEMORY_SHARE))
+        response_max_bytes = int(self.body_memory.limit_bytes * RESPONSE_MEMORY_SHARE)
+        self.pool = UpstreamPool(settings.upstream_address, response_max_bytes, self.body_memory)
         self.local_upstream = LocalUpstream(settings.service)
         self.local_upstream.on_change = self._upstream_changed
         sender = UpstreamSender(self.pool, self.current_routes)
@@ -129,16 +149,14 @@
         sockets = [listen(*split_address(address)) for address in addresses]
         sockets.append(listen(host, metrics_port))
         self.events.prometheus_metrics.collect_state = self._read_gauges
-        self.server = HttpServer(
-            self.app, sockets, http=DisconnectAwareProtocol, timeout_keep_alive=KEEP_ALIVE_SECONDS
-        )
+        self.server = ForwardingServer(self.app, sockets, self.body_memory, KEEP_ALIVE_SECONDS)
         self._remote_addresses: frozenset[str] = frozenset()
         self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
         """Listen on the links and for callers, and start the background tasks."""
         await self.link_server.start(*split_address(self.settings.link_address))
-        self.server.start()
+        await self.server.start()
         self.store_sync.start()
         coroutine_function_by_name = {
             "close_idle_links": self.links.close_idle,
@@ -162,6 +180,7 @@
         drain_deadline = started_at + self.settings.stop_seconds - CLOSE_RESERVE_SECONDS
         self.events.stopping(in_flight=self.app.in_flight)
         self.app.is_stopping = True
+        self.server.begin_stop()
         while self._loop.time() < drain_deadline:
             are_callers_drained = self._loop.time() - started_at >= CALLER_DRAIN_SECONDS
             if are_callers_drained:
@@ -169,7 +188,7 @@
                 self.gate.stop()
             if self._loop.time() - started_at >= REFUSE_CALLERS_AFTER_SECONDS:
                 self.app.is_refusing_callers = True
-            if are_callers_drained and not self.app.in_flight and not self.gate.report().in_flight:
+            if are_callers_drained and not self.server.is_busy and not self.gate.report().in_flight:
                 # Requests that arrive before the listener closes are refused instead of losing
                 # their connection.
                 self.app.is_refusing_callers = True
@@ -215,6 +234,7 @@
             "instances_known": len(self.view.by_instance),
             "upstream_serving": float(self.local_upstream.is_serving),
             "callers_in_flight": self.app.in_flight,
+            "body_bytes_held": self.body_memory.held_bytes,
             "gate_in_flight": report.in_flight,
             "gate_queued": report.queued,
             "gate_limit": report.limit,
@@ -275,8 +295,14 @@
 
     async def _serve_request(self, request: CallRequest) -> GateReply:
         now = self._loop.time()
+        reservation = self.body_memory.hold()
+        if not reservation.grow(len(request.body)):
+            return GateReply(NotRun(NotRunReason.FULL, MEMORY_RETRY_AFTER_SECONDS))
         call = request_to_call(request, now - self._pause_detector.max_message_age(now))
-        return await self.gate.serve(call)
+        try:
+            return await self.gate.serve(call)
+        finally:
+            reservation.release()
 
     async def _remove_unreachable(self) -> None:
         await self.store_sync.remove_unreachable(
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -196,6 +196,10 @@
             version=version,
         )
 
+    def request_rejected(self, request_id: str, reason: str) -> None:
+        """Log a request that was answered before it had arrived in full."""
+        self._emit("request.rejected", True, id=request_id, reason=reason)
+
     def request_cancelled(self, request_id: str, seconds: float) -> None:
         """Log that a caller disconnected before it got an answer."""
         self._emit("request.cancelled", True, id=request_id, ms=seconds * 1000)
--- a/bamboojunction/upstreams/connection.py
+++ b/bamboojunction/upstreams/connection.py
@@ -1,13 +1,22 @@
 """A single HTTP/1.1 connection to an upstream, without pipelining."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
 
 import httptools
 
+from bamboojunction.core.memory_budget import BodyReservation, MemoryBudget
+
 Headers = tuple[tuple[str, str], ...]
 
+# Bound on the bytes that bring a response neither to the end of its head nor on in its body:
+# headers, interim (1xx) responses and trailers.
+HEAD_MAX_BYTES = 65_536
+# Bound on complete responses to other requests that are skipped before the right one.
+FOREIGN_RESPONSES_MAX = 4
+
 
 class ExchangeFailure(Enum):
     """Why a request got no complete response."""
@@ -17,6 +26,23 @@
     CLOSED = auto()
     TRUNCATED = auto()
     MALFORMED = auto()
+    # The response exceeds a bound, so it may have no end.
+    OVERSIZED = auto()
+
+
+class ResponseOwner(Enum):
+    """Which request a response answers, as its headers tell."""
+
+    THIS_REQUEST = auto()
+    OTHER_REQUEST = auto()
+
+
+ResponseMatcher = Callable[[Headers], ResponseOwner]
+
+
+def match_any(headers: Headers) -> ResponseOwner:
+    """Take each response for the answer to the pending request."""
+    return ResponseOwner.THIS_REQUEST
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,10 +58,13 @@
     """A connection that carries one request at a time and reads complete responses.
 
     Bytes outside a response make the connection unusable for further requests, and so does a
-    response that ends with the connection.
+    response that ends with the connection. A late copy of the response to an earlier request is
+    skipped, and the connection is not used again.
     """
 
-    def __init__(self):
+    def __init__(self, body_max_bytes: int, memory: MemoryBudget):
+        self._body_max_bytes = body_max_bytes
+        self._reservation: BodyReservation = memory.hold()
         self.is_reusable = False
         self.idle_since = 0.0
         # The idle timeout from the upstream's Keep-Alive header, None if it sent none.
@@ -49,11 +78,17 @@
         self._transport = transport
         self.is_reusable = True
 
-    async def exchange(self, request: bytes) -> RawResponse | ExchangeFailure:
-        """Send a request and wait for its response; cancellation closes the connection."""
+    async def exchange(
+        self, request: bytes, match_response: ResponseMatcher = match_any
+    ) -> RawResponse | ExchangeFailure:
+        """Send a request and wait for its response; cancellation closes the connection.
+
+        ``match_response`` tells from the headers of a response whether it answers the request.
+        """
         if not self.is_reusable:
             return ExchangeFailure.NOT_SENT
         self._reset()
+        self._match_response = match_response
         self.is_reusable = False
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(request)
@@ -64,6 +99,7 @@
             raise
         finally:
             self._waiter = None
+            self._reservation.release()
         if isinstance(result, ExchangeFailure):
             self.abort()
             return result
@@ -87,6 +123,7 @@
             self._stop_reuse()
             return
         self._has_response_bytes = True
+        self._bytes_without_progress += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -95,12 +132,13 @@
                 self._stop_reuse()
             else:
                 self._resolve(ExchangeFailure.MALFORMED)
+        if self._bytes_without_progress > HEAD_MAX_BYTES:
+            self._resolve(ExchangeFailure.OVERSIZED)
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
         if self._waiter is not None and self._are_headers_complete and not self._has_explicit_end:
-            self._keep_alive = False
-            self._complete()
+            self._end_response(keep_alive=False)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -119,8 +157,8 @@
             self._stop_reuse()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        if not self._is_complete:
+        """Store a header; trailers are not forwarded."""
+        if not self._are_headers_complete:
             self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -130,24 +168,51 @@
         names = {name for name, _ in self._headers}
         self._status = self._parser.get_status_code()
         self._are_headers_complete = True
+        if self._status >= 200:
+            self._bytes_without_progress = 0
         self._has_explicit_end = bool(names & {"content-length", "transfer-encoding"})
 
     def on_body(self, body: bytes) -> None:
-        """Append a chunk of the body."""
-        if not self._is_complete:
+        """Append a chunk of the body, within the bounds on one body and on all bodies."""
+        if self._is_complete or self._is_oversized:
+            return
+        self._bytes_without_progress = 0
+        is_within_bounds = len(self._body) + len(
+            body
+        ) <= self._body_max_bytes and self._reservation.grow(len(body))
+        if is_within_bounds:
             self._body += body
+        else:
+            self._is_oversized = True
+            self._resolve(ExchangeFailure.OVERSIZED)
 
     def on_message_complete(self) -> None:
-        """Complete the request, unless the response is an interim (1xx) one."""
-        if self._is_complete:
-            return
+        """Complete the request, unless the response is interim (1xx) or to another request."""
         if 100 <= self._status < 200:
-            self._headers.clear()
-            self._are_headers_complete = False
+            self._discard_response()
+        else:
+            self._end_response(self._parser.should_keep_alive())
+
+    def _end_response(self, keep_alive: bool) -> None:
+        """Complete the request with a whole response, unless it answers another request."""
+        if self._is_complete or self._is_oversized:
+            return
+        if self._match_response(tuple(self._headers)) is ResponseOwner.OTHER_REQUEST:
+            self._foreign_responses += 1
+            if self._foreign_responses > FOREIGN_RESPONSES_MAX:
+                self._resolve(ExchangeFailure.MALFORMED)
+            self._discard_response()
             return
-        self._keep_alive = self._parser.should_keep_alive()
+        # More copies may follow a response that answers another request.
+        self._keep_alive = keep_alive and not self._foreign_responses
         self._complete()
 
+    def _discard_response(self) -> None:
+        self._headers.clear()
+        self._body.clear()
+        self._reservation.release()
+        self._are_headers_complete = False
+
     def _reset(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._status = 0
@@ -157,8 +222,12 @@
         self._are_headers_complete = False
         self._has_explicit_end = False
         self._is_complete = False
+        self._is_oversized = False
         self._keep_alive = False
         self._is_closed = False
+        self._bytes_without_progress = 0
+        self._foreign_responses = 0
+        self._match_response: ResponseMatcher = match_any
 
     def _complete(self) -> None:
         self._is_complete = True
--- a/bamboojunction/upstreams/pool.py
+++ b/bamboojunction/upstreams/pool.py
@@ -5,7 +5,14 @@
 from collections import deque
 
 from bamboojunction.conf.addresses import split_address
-from bamboojunction.upstreams.connection import ExchangeFailure, RawResponse, UpstreamConnection
+from bamboojunction.core.memory_budget import MemoryBudget
+from bamboojunction.upstreams.connection import (
+    ExchangeFailure,
+    RawResponse,
+    ResponseMatcher,
+    UpstreamConnection,
+    match_any,
+)
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 # An upstream may close an idle connection just as a request is written to it. A connection that has
@@ -22,23 +29,38 @@
 class UpstreamPool:
     """A pool of connections to one address, which reuses the most recently used one first."""
 
-    __slots__ = ("_host", "_idle", "_loop", "_port", "opened_count")
+    __slots__ = (
+        "_body_max_bytes",
+        "_host",
+        "_idle",
+        "_loop",
+        "_memory",
+        "_port",
+        "opened_count",
+    )
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, body_max_bytes: int, memory: MemoryBudget):
+        self._body_max_bytes = body_max_bytes
+        self._memory = memory
         self._host, self._port = split_address(address)
         self._loop = asyncio.get_running_loop()
         self._idle: deque[UpstreamConnection] = deque()
         self.opened_count = 0
 
-    async def exchange(self, request: bytes, is_idempotent: bool) -> RawResponse | ExchangeFailure:
-        """Send a request and return its response.
+    async def exchange(
+        self,
+        request: bytes,
+        is_idempotent: bool,
+        match_response: ResponseMatcher = match_any,
+    ) -> RawResponse | ExchangeFailure:
+        """Send a request and return its response, the first that ``match_response`` accepts.
 
         An idempotent request is sent again on a new connection if a reused one turns out to be
         closed; any other request reuses a connection only shortly after its last response.
         """
         connection = self._take_idle(is_idempotent)
         if connection is not None:
-            result = await self._exchange_on(connection, request)
+            result = await self._exchange_on(connection, request, match_response)
             if result is ExchangeFailure.NOT_SENT:
                 # Nothing was sent: use a new connection.
                 pass
@@ -47,7 +69,7 @@
         connection = await self._connect()
         if connection is None:
             return ExchangeFailure.NOT_SENT
-        return await self._exchange_on(connection, request)
+        return await self._exchange_on(connection, request, match_response)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -55,9 +77,9 @@
             self._idle.pop().abort()
 
     async def _exchange_on(
-        self, connection: UpstreamConnection, request: bytes
+        self, connection: UpstreamConnection, request: bytes, match_response: ResponseMatcher
     ) -> RawResponse | ExchangeFailure:
-        result = await connection.exchange(request)
+        result = await connection.exchange(request, match_response)
         if connection.is_reusable:
             connection.idle_since = self._loop.time()
             self._idle.append(connection)
@@ -92,7 +114,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 transport, connection = await self._loop.create_connection(
-                    UpstreamConnection, self._host, self._port
+                    lambda: UpstreamConnection(self._body_max_bytes, self._memory),
+                    self._host,
+                    self._port,
                 )
         except (OSError, TimeoutError):
             return None
--- a/tests/platform_node/fleet.py
+++ b/tests/platform_node/fleet.py
@@ -103,6 +103,7 @@
             retry_ratio=0.2,
             retry_window_seconds=10.0,
             retry_slack=1_000_000.0,
+            memory_bytes=200_000_000,
         )
         self.log_descriptor = os.open(os.devnull, os.O_WRONLY)
         self.node = PlatformNode(self.settings, self.log_descriptor)
--- a/tests/platform_node/test_upstream_connection.py
+++ b/tests/platform_node/test_upstream_connection.py
@@ -8,10 +8,18 @@
 import struct
 import unittest
 
+from bamboojunction.core.calls import Call
+from bamboojunction.core.memory_budget import MemoryBudget
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from bamboojunction.core.routes import CurrentRoutes
+from bamboojunction.platform.requests import response_owner
+from bamboojunction.platform_node.gate import UpstreamSender
 from bamboojunction.upstreams.connection import ExchangeFailure, RawResponse
 from bamboojunction.upstreams.pool import UpstreamPool
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
+BODY_MAX_BYTES = 100_000
+MEMORY_BYTES = 1_000_000
 COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -45,13 +53,25 @@
             writer.transport.abort()
 
 
+def response(
+    request_id: str, body: bytes = b"ok", status: str = "200 OK", extra: str = ""
+) -> bytes:
+    head = f"HTTP/1.1 {status}\r\nBamboojunction-Request-Id: {request_id}\r\n{extra}"
+    return head.encode() + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def refusal(request_id: str) -> bytes:
+    extra = "Bamboojunction-Not-Executed: 1\r\n"
+    return response(request_id, b"", "503 Service Unavailable", extra)
+
+
 class ExchangeTests(unittest.IsolatedAsyncioTestCase):
     async def start_pool(self, upstream: ScriptedUpstream) -> UpstreamPool:
         server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
         host, port = server.sockets[0].getsockname()
-        pool = UpstreamPool(f"{host}:{port}")
+        pool = UpstreamPool(f"{host}:{port}", BODY_MAX_BYTES, MemoryBudget(MEMORY_BYTES))
         self.addCleanup(pool.close)
         return pool
 
@@ -122,5 +142,119 @@
     async def test_refused_connection_is_not_sent(self):
         with socket.create_server(("127.0.0.1", 0)) as closed:
             port = closed.getsockname()[1]
-        pool = UpstreamPool(f"127.0.0.1:{port}")
+        pool = UpstreamPool(f"127.0.0.1:{port}", BODY_MAX_BYTES, MemoryBudget(MEMORY_BYTES))
         self.assertIs(await pool.exchange(REQUEST, is_idempotent=False), ExchangeFailure.NOT_SENT)
+
+    async def test_response_to_another_request_is_skipped_and_its_connection_dropped(self):
+        upstream = ScriptedUpstream(response("1"), response("1", b"late copy") + response("2"))
+        pool = await self.start_pool(upstream)
+        for request_id in ("1", "2"):
+            result = await pool.exchange(
+                REQUEST, True, lambda headers, wanted=request_id: response_owner(headers, wanted)
+            )
+            self.assertEqual(result.body, b"ok")
+        await pool.exchange(REQUEST, True)
+        self.assertEqual(upstream.connections, 2)
+
+    async def test_endless_responses_to_other_requests_are_a_failure(self):
+        pool = await self.start_pool(ScriptedUpstream(20 * response("other")))
+        result = await pool.exchange(REQUEST, False, lambda headers: response_owner(headers, "1"))
+        self.assertIs(result, ExchangeFailure.MALFORMED)
+
+    async def test_bytes_without_end_are_cut_at_a_bound(self):
+        filler = bytes([120]) * 1_000
+        heads = {
+            "header": (b"HTTP/1.1 200 OK\r\nx: ", filler),
+            "headers": (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 200),
+            "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+            "body without length": (b"HTTP/1.1 200 OK\r\n\r\n", filler),
+            "long body": (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", filler),
+            "chunks": (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"3e8\r\n" + filler + b"\r\n",
+            ),
+            "trailer": (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nx: ",
+                filler,
+            ),
+        }
+        for name, (start, repeated) in heads.items():
+            with self.subTest(name):
+                upstream = EndlessUpstream(start, repeated)
+                pool = await self.start_pool(upstream)
+                async with asyncio.timeout(5.0):
+                    result = await pool.exchange(REQUEST, is_idempotent=False)
+                    self.assertIs(result, ExchangeFailure.OVERSIZED)
+                    await upstream.is_cut.wait()
+
+    async def test_bodies_of_all_connections_share_one_bound(self):
+        memory = MemoryBudget(MEMORY_BYTES)
+        body = bytes(BODY_MAX_BYTES)
+        incomplete = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body) + 1}\r\n\r\n".encode() + body
+        pool = await self.start_pool(ScriptedUpstream(incomplete))
+        pool._memory = memory
+        async with asyncio.timeout(5.0), asyncio.TaskGroup() as tasks:
+            pending = [tasks.create_task(pool.exchange(REQUEST, False)) for _ in range(12)]
+            while sum(task.done() for task in pending) < 2:
+                await asyncio.sleep(0.01)
+            self.assertLessEqual(memory.held_bytes, MEMORY_BYTES)
+            for task in pending:
+                task.cancel()
+        self.assertEqual(memory.held_bytes, 0)
+
+
+class EndlessUpstream:
+    """An upstream that sends a start and then the same bytes until its peer closes."""
+
+    def __init__(self, start: bytes, repeated: bytes):
+        self.start = start
+        self.repeated = repeated
+        self.is_cut = asyncio.Event()
+
+    async def serve(self, reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.start)
+        try:
+            while True:
+                writer.write(self.repeated)
+                await writer.drain()
+        except ConnectionError:
+            self.is_cut.set()
+            writer.transport.abort()
+
+
+class SenderTests(unittest.IsolatedAsyncioTestCase):
+    """The outcome of a call, from what the upstream sends on a connection that is in use again."""
+
+    async def send_twice(self, *scripts: bytes):
+        upstream = ScriptedUpstream(*scripts)
+        server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        pool = UpstreamPool(f"{host}:{port}", BODY_MAX_BYTES, MemoryBudget(MEMORY_BYTES))
+        self.addCleanup(pool.close)
+        sender = UpstreamSender(pool, CurrentRoutes())
+        now = asyncio.get_running_loop().time()
+        outcomes = []
+        for request_id in ("1", "2"):
+            call = Call(request_id, "charge", "billing", now + 1.0, method="POST")
+            outcomes.append((await sender.send(call, [])).outcome)
+        return outcomes
+
+    async def test_refusal_written_again_does_not_refuse_the_next_request(self):
+        first, second = await self.send_twice(refusal("1"), refusal("1") + response("2"))
+        self.assertEqual(first, NotRun(NotRunReason.UPSTREAM_REFUSED))
+        self.assertEqual((second.status, second.body), (200, b"ok"))
+
+    async def test_refusal_written_again_before_the_upstream_hangs_leaves_the_outcome_unknown(self):
+        _, second = await self.send_twice(refusal("1"), refusal("1"))
+        self.assertEqual(second, Unknown(UnknownReason.DEADLINE))
+
+    async def test_refusal_without_an_id_proves_nothing(self):
+        script = (
+            b"HTTP/1.1 503 Service Unavailable\r\nBamboojunction-Not-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        first, _ = await self.send_twice(script, response("2"))
+        self.assertEqual(first, Unknown(UnknownReason.TRUNCATED))
