Kept calls away from upstreams that refuse while they call themselves healthy

A refusal ended at once, so their gates looked idle and attracted calls, and each refusal spent a retry of the fleet.

Change: a gate opens a circuit breaker after eight refusals in a row and lets a probe through each 0.15 s; its reports then say that it admits nothing, routers leave it out for half a second after each, and new requests are refused on entry, with a longer Retry-After, only once all known gates of a service say so. Gates also report the share of calls that their upstream refused, and routers prolong the expected time by it. Queued calls are refused 30 ms before their deadline, so that the caller hears that the call has not run instead of 504. Watches of the instances allow stale answers and wait for 30 s, for a lower price of the calls to the store.

--- a/bamboojunction/core/admission/edge.py
+++ b/bamboojunction/core/admission/edge.py
@@ -16,11 +16,17 @@
 # An admitted fraction that no answer confirms grows by this factor per second.
 FRACTION_GROWTH_PER_SECOND = 2.0
 LEVEL_TTL_SECONDS = 4.0
+# The fraction admitted while all known gates of a service admit nothing; these actions find out
+# when that ends.
+PROBE_FRACTION = 0.02
 # For each service and source only the instances that reported last are kept, so that the cost of a
 # decision does not grow with the size of the service.
 INSTANCES_PER_SOURCE_MAX = 8
-# Mean retry-after of a refused call; the hash of its action spreads it from 0.5 to 1.5 times this.
+# Mean retry-after of a refused call, divided by the admitted fraction: the less is admitted, the
+# more of those that return would be refused again. The hash of the action spreads it from 0.5 to
+# 1.5 times the mean. Smaller fractions than the minimum do not prolong it.
 RETRY_AFTER_SECONDS = 0.5
+RETRY_FRACTION_MIN = 0.25
 
 
 class _Source(NamedTuple):
@@ -45,11 +51,14 @@
         fraction = self.level.fraction(rank)
         if fraction >= 1.0:
             return 1.0
+        fraction = fraction or PROBE_FRACTION
         return min(1.0, fraction * FRACTION_GROWTH_PER_SECOND ** (now - self.learned_at))
 
 
 def _mean_fraction(levels: list[_KnownLevel], rank: int, now: float) -> float:
-    return sum(level.fraction(rank, now) for level in levels) / len(levels)
+    """Return the mean over the gates that admit calls, as routers avoid those that admit none."""
+    admitting = [entry for entry in levels if not entry.level.is_closed] or levels
+    return sum(entry.fraction(rank, now) for entry in admitting) / len(admitting)
 
 
 class EdgeShedder:
@@ -93,9 +102,9 @@
         hash_value = action_hash(action)
         if hash_value < fraction:
             return None
-        return NotRun(
-            NotRunReason.SHED_AT_EDGE, retry_after=RETRY_AFTER_SECONDS * (0.5 + hash_value)
-        )
+        mean_seconds = RETRY_AFTER_SECONDS / max(RETRY_FRACTION_MIN, fraction)
+        retry_after = mean_seconds * (0.5 + hash_value)
+        return NotRun(NotRunReason.SHED_AT_EDGE, retry_after=retry_after)
 
     def fraction(self, service: str, rank: int, now: float) -> float:
         """Return the fraction of the actions of a rank that a service admits."""
--- a/bamboojunction/core/admission/gate.py
+++ b/bamboojunction/core/admission/gate.py
@@ -1,5 +1,6 @@
 """Admission control for the slots of one upstream."""
 
+from bamboojunction.core.admission.breaker import RefusalBreaker
 from bamboojunction.core.admission.limit import AdaptiveLimit
 from bamboojunction.core.admission.queue import RankQueue
 from bamboojunction.core.admission.service_times import GateServiceTimes
@@ -11,7 +12,7 @@
     Start,
     Ticket,
 )
-from bamboojunction.core.load_reports import LoadReport, action_hash
+from bamboojunction.core.load_reports import AdmissionLevel, LoadReport, action_hash
 from bamboojunction.core.outcomes import NotRun, NotRunReason
 
 __all__ = ["AdmissionController", "CompletionStatus", "Decision", "Refuse", "Start", "Ticket"]
@@ -21,6 +22,11 @@
 QUEUE_CALLS_BASE = 16
 # Mean retry-after of a refused call; the hash of its action spreads it from 0.5 to 1.5 times this.
 RETRY_AFTER_SECONDS = 0.3
+# The same while the upstream refuses all calls.
+OPEN_RETRY_AFTER_SECONDS = 1.0
+# Queued calls are refused this long before their deadline, so that the refusal arrives in time. A
+# caller that hears nothing until the deadline has to assume that the call may have run.
+REFUSAL_MARGIN_SECONDS = 0.03
 
 
 class AdmissionController:
@@ -32,6 +38,7 @@
     """
 
     __slots__ = (
+        "_breaker",
         "_draining",
         "_in_flight",
         "_limit",
@@ -48,6 +55,7 @@
         self._queue_max_per_rank = QUEUE_CALLS_PER_SLOT * slots + QUEUE_CALLS_BASE
         self._service_times = GateServiceTimes()
         self._shedder = LoadShedder()
+        self._breaker = RefusalBreaker()
         self._in_flight: dict[int, Ticket] = {}
         self._running_by_kind: dict[str, int] = {}
         self._draining = False
@@ -71,6 +79,8 @@
             return [self._refuse(ticket, NotRunReason.SHED, hash_value)]
         if self._will_miss_deadline(ticket, now):
             return [self._refuse(ticket, NotRunReason.DEADLINE, hash_value)]
+        if not self._breaker.admits(now):
+            return [self._refuse_while_open(ticket)]
         waiting = self._queue.waiting_count(ticket.rank)
         exceeds_max_delay = self._shedder.exceeds_max_delay(ticket.rank, waiting)
         if exceeds_max_delay or waiting >= self._queue_max_per_rank:
@@ -95,12 +105,18 @@
         ticket = self._in_flight.get(ticket_id)
         if ticket is None:
             return []
-        self._limit.record_end(status, len(self._in_flight), now)
+        was_open = self._breaker.is_open
+        self._breaker.record_end(status, now)
+        if not was_open:
+            # Refused probes do not lower the limit, which applies again once the breaker closes.
+            self._limit.record_end(status, len(self._in_flight), now)
         del self._in_flight[ticket_id]
         if status is CompletionStatus.SUCCEEDED:
             self._service_times.add(ticket.kind, service_seconds, now)
         self._queue.record_end(ticket)
         self._release_kind_slot(ticket)
+        if self._breaker.is_open and not was_open:
+            return [self._refuse_while_open(queued) for queued in self._queue.clear()]
         return self._start_queued(now)
 
     def cancel(self, ticket_id: int, now: float) -> list[Decision]:
@@ -122,7 +138,12 @@
         """Return when ``tick`` is due, or None if no call is queued and no rank is being shed."""
         if not len(self._queue) and not self._shedder.is_shedding:
             return None
-        return max(now, self._shedder.next_update())
+        next_tick = self._shedder.next_update()
+        earliest_deadline = self._queue.earliest_deadline()
+        if earliest_deadline is not None:
+            # Within the margin, so that rounding does not make the tick come just too early.
+            next_tick = min(next_tick, earliest_deadline - 0.9 * REFUSAL_MARGIN_SECONDS)
+        return max(now, next_tick)
 
     def drain(self, now: float) -> list[Decision]:
         """Refuse all queued calls and all calls offered from now on."""
@@ -136,10 +157,14 @@
             queued=len(self._queue),
             in_flight=len(self._in_flight),
             limit=self._limit.current(now),
-            level=self._shedder.level,
+            level=self._level(),
             draining=self._draining,
+            refused_share=self._breaker.refused_share,
         )
 
+    def _level(self) -> AdmissionLevel:
+        return self._shedder.closed_level() if self._breaker.is_open else self._shedder.level
+
     def _update_shedder(self, now: float) -> None:
         has_free_slot = len(self._in_flight) < self._limit.current(now)
         self._shedder.update(
@@ -189,10 +214,15 @@
             # With an empty queue the call delays no other, so it may start even if it is likely
             # to miss its deadline.
             return remaining <= 0
-        return remaining <= self._service_times.upper_bound(ticket.kind, now)
+        needed = max(REFUSAL_MARGIN_SECONDS, self._service_times.upper_bound(ticket.kind, now))
+        return remaining <= needed
 
     def _refuse(
         self, ticket: Ticket, reason: NotRunReason, hash_value: float | None = None
     ) -> Refuse:
         hash_value = action_hash(ticket.action) if hash_value is None else hash_value
         return Refuse(ticket.ticket_id, NotRun(reason, RETRY_AFTER_SECONDS * (0.5 + hash_value)))
+
+    def _refuse_while_open(self, ticket: Ticket) -> Refuse:
+        retry_after = OPEN_RETRY_AFTER_SECONDS * (0.5 + action_hash(ticket.action))
+        return Refuse(ticket.ticket_id, NotRun(NotRunReason.SHED, retry_after))
--- a/bamboojunction/core/admission/shedding.py
+++ b/bamboojunction/core/admission/shedding.py
@@ -104,6 +104,10 @@
         """Return the admission level to be sent with answers."""
         return self._level
 
+    def closed_level(self) -> AdmissionLevel:
+        """Return the level of a gate that admits nothing, for the ranks that are known here."""
+        return AdmissionLevel(tuple(RankFraction(rank, 0.0) for rank in sorted(self._by_rank)))
+
     def exceeds_max_delay(self, rank: int, waiting: int) -> bool:
         """Return whether another call of a rank that is being shed would wait too long.
 
--- a/bamboojunction/core/load_reports.py
+++ b/bamboojunction/core/load_reports.py
@@ -30,6 +30,11 @@
 
     shares: tuple[RankFraction, ...] = ()
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether no action of any listed rank is admitted."""
+        return bool(self.shares) and not any(share.fraction for share in self.shares)
+
     def fraction(self, rank: int) -> float:
         """Return the admitted fraction of the actions of a rank."""
         return next((share.fraction for share in self.shares if share.rank == rank), 1.0)
@@ -53,7 +58,8 @@
 
     ``queued`` and ``in_flight`` are numbers of calls, and ``limit`` is the number that may run at
     once. ``below`` contains the levels of the services that the gate's own upstream calls. They are
-    relayed up the call chain to the node where requests enter.
+    relayed up the call chain to the node where requests enter. ``refused_share`` is the share of the
+    recent calls, from 0 to 1, that the upstream itself refused.
     """
 
     queued: int = 0
@@ -62,3 +68,4 @@
     level: AdmissionLevel = AdmissionLevel()
     draining: bool = False
     below: tuple[ServiceAdmissionLevel, ...] = ()
+    refused_share: float = 0.0
--- a/bamboojunction/core/routing/estimates.py
+++ b/bamboojunction/core/routing/estimates.py
@@ -1,5 +1,6 @@
 """Estimates of the completion time of a call at an upstream, from its answers and reports."""
 
+import math
 from dataclasses import dataclass
 
 from bamboojunction.core.load_reports import LoadReport
@@ -15,6 +16,13 @@
 # Factor on utilization above 1: a gate sheds load before its queue gets long, so a full upstream is
 # worse than its queue shows.
 EXCESS_LOAD_FACTOR = 8.0
+# An upstream whose gate reports that it admits nothing gets no call for this long. The next call
+# tells whether that has changed.
+CLOSED_SECONDS = 0.5
+# The completion time of an upstream is multiplied by its accepted share of calls to the negative
+# power: above 1, as a refusal costs a retry besides the time.
+REFUSAL_EXPONENT = 2
+ACCEPTED_SHARE_MIN = 0.05
 
 
 @dataclass(slots=True)
@@ -80,9 +88,11 @@
     """
 
     __slots__ = (
+        "_refused_share",
         "_reported_at",
         "_reported_utilization",
         "_service_estimates",
+        "closed_until",
         "in_flight",
         "limit",
         "network_seconds",
@@ -92,6 +102,7 @@
 
     def __init__(self, service_estimates: ServiceEstimates, network_seconds: float):
         self._service_estimates = service_estimates
+        self._refused_share = 0.0
         self._reported_utilization = 0.0
         self._reported_at: float | None = None
         self.limit = 1
@@ -99,6 +110,8 @@
         self.service_times = ServiceTimes()
         self.in_flight = 0
         self.sent_since_report = 0
+        # Until then the upstream's gate is expected to refuse all calls.
+        self.closed_until = -math.inf
 
     @property
     def has_report(self) -> bool:
@@ -120,6 +133,8 @@
         self.limit = max(1, report.limit)
         self._reported_utilization = (report.queued + report.in_flight) / self.limit
         self._reported_at = now
+        self._refused_share = report.refused_share
+        self.closed_until = now + CLOSED_SECONDS if report.level.is_closed else -math.inf
         self.sent_since_report = 0
         self._service_estimates.record_utilization(self._reported_utilization)
 
@@ -146,9 +161,22 @@
         self.service_times.add_lower_bound(kind, elapsed_seconds, now)
 
     def completion_seconds(self, kind: str, utilization: float, now: float) -> float:
-        """Return the expected time in seconds from sending a call to receiving its answer."""
+        """Return the expected time in seconds from sending a call to receiving its answer.
+
+        The time of an upstream that refuses a part of the calls is prolonged, since a refused call
+        has to be sent again and spends a retry.
+        """
         excess = max(0.0, utilization - 1.0) * EXCESS_LOAD_FACTOR
-        return self.service_seconds(kind, now) * (1.0 + utilization + excess) + self.network_seconds
+        seconds = self.service_seconds(kind, now) * (1.0 + utilization + excess)
+        if self._refused_share:
+            seconds *= self._refusal_factor(now)
+        return seconds + self.network_seconds
+
+    def _refusal_factor(self, now: float) -> float:
+        """Return the factor for refused calls, which decays so that the upstream is tried again."""
+        weight = 0.5 ** ((now - self._reported_at) / REPORT_HALF_LIFE_SECONDS)
+        accepted_share = max(ACCEPTED_SHARE_MIN, 1.0 - weight * self._refused_share)
+        return accepted_share**-REFUSAL_EXPONENT
 
     def utilization(self, now: float) -> float:
         """Return the estimated utilization; the last report decays into the mean of the service."""
--- a/bamboojunction/core/routing/router.py
+++ b/bamboojunction/core/routing/router.py
@@ -230,6 +230,8 @@
         if not estimates.has_report:
             # One call at a time until the first answer, so that a cold upstream is not overloaded.
             return estimates.in_flight == 0
+        if now < estimates.closed_until:
+            return False
         expected = estimates.service_times.overall.mean * (1.0 + utilization)
         if upstream.health.is_unresponsive(estimates.in_flight, expected, now):
             upstream.health.eject(now, is_unresponsive=True)
@@ -264,6 +266,7 @@
             sample,
             key=lambda upstream: (
                 upstream.health.state is HealthState.EJECTED,
+                now < upstream.estimates.closed_until,
                 not upstream.is_local,
                 upstream.estimates.in_flight,
             ),
--- a/bamboojunction/links/convert.py
+++ b/bamboojunction/links/convert.py
@@ -166,6 +166,7 @@
         _level_to_wire(report.level),
         report.draining,
         tuple((entry.service, _level_to_wire(entry.level)) for entry in report.below),
+        round(100 * report.refused_share),
     )
 
 
@@ -176,7 +177,11 @@
     below = tuple(
         ServiceAdmissionLevel(service, _level_from_wire(shares)) for service, shares in load.below
     )
-    return LoadReport(load.queued, load.in_flight, load.limit, level, load.draining, below)
+    # A peer may send any number.
+    refused_share = min(100, max(0, load.refused_percent)) / 100
+    return LoadReport(
+        load.queued, load.in_flight, load.limit, level, load.draining, below, refused_share
+    )
 
 
 def _level_to_wire(level: AdmissionLevel) -> tuple[tuple[int, float], ...]:
--- a/bamboojunction/links/messages.py
+++ b/bamboojunction/links/messages.py
@@ -71,7 +71,11 @@
 
 
 class Load(Message):
-    """The load report of a gate, nested in an answer."""
+    """The load report of a gate, nested in an answer.
+
+    ``refused_percent`` is the share of the recent calls that the upstream refused; whole numbers
+    keep its encoding short.
+    """
 
     queued: int
     in_flight: int
@@ -79,6 +83,7 @@
     level: tuple[tuple[int, float], ...]
     draining: bool
     below: tuple[tuple[str, tuple[tuple[int, float], ...]], ...] = ()
+    refused_percent: int = 0
 
 
 class CallAnswer(Message, tag=2):
--- a/bamboojunction/node/rate_limited_client.py
+++ b/bamboojunction/node/rate_limited_client.py
@@ -50,11 +50,17 @@
         return self._count_error(await self._client.delete(collection, name, expected_version))
 
     async def watch(
-        self, collection: str, after_revision: int, wait_seconds: float
+        self,
+        collection: str,
+        after_revision: int,
+        wait_seconds: float,
+        may_be_stale: bool = False,
     ) -> Result[WatchBatch, PlatformError]:
         """Wait for changes after the revision ``after_revision``, for at most ``wait_seconds``."""
         await self._throttle_read("watch")
-        return self._count_error(await self._client.watch(collection, after_revision, wait_seconds))
+        return self._count_error(
+            await self._client.watch(collection, after_revision, wait_seconds, may_be_stale)
+        )
 
     async def close(self) -> None:
         """Close the connections."""
--- a/bamboojunction/platform/client.py
+++ b/bamboojunction/platform/client.py
@@ -87,11 +87,17 @@
 
     @abstractmethod
     async def watch(
-        self, collection: str, after_revision: int, wait_seconds: float
+        self,
+        collection: str,
+        after_revision: int,
+        wait_seconds: float,
+        may_be_stale: bool = False,
     ) -> Result[WatchBatch, PlatformError]:
         """Wait up to ``wait_seconds`` for changes after a revision.
 
-        An empty batch means that nothing changed in that time.
+        An empty batch means that nothing changed in that time. With ``may_be_stale`` the call is
+        cheaper, and changes may be seconds late; the revision of the batch may then be an older
+        one than ``after_revision``.
         """
 
     @abstractmethod
--- a/bamboojunction/platform/http_client.py
+++ b/bamboojunction/platform/http_client.py
@@ -35,6 +35,8 @@
 TCP_USER_TIMEOUT_MS = 3_000
 # The longest wait of a watch that the store accepts.
 WATCH_WAIT_MAX_MS = 30_000
+# Allows an answer from a replica that lags; such a call costs a tenth of another one.
+STALE_OK_QUERY = "&stale_ok=1"
 
 Parsed = TypeVar("Parsed")
 
@@ -145,11 +147,17 @@
         return await self._call("DELETE", path, _Access.WRITE, lambda body: None)
 
     async def watch(
-        self, collection: str, after_revision: int, wait_seconds: float
+        self,
+        collection: str,
+        after_revision: int,
+        wait_seconds: float,
+        may_be_stale: bool = False,
     ) -> Result[WatchBatch, PlatformError]:
         """Wait up to ``wait_seconds`` for changes after a revision."""
         wait_ms = min(WATCH_WAIT_MAX_MS, int(wait_seconds * 1000))
         path = f"{_object_path(collection)}?watch={after_revision}&wait_ms={wait_ms}"
+        if may_be_stale:
+            path += STALE_OK_QUERY
         timeout = wait_seconds + WATCH_TIMEOUT_MARGIN_SECONDS
         result = await self._call("GET", path, _Access.READ, _json_parser(_Events), timeout=timeout)
         return result.map(lambda events: _to_batch(collection, events))
--- a/bamboojunction/platform_node/store_sync.py
+++ b/bamboojunction/platform_node/store_sync.py
@@ -22,9 +22,9 @@
 from bamboojunction.platform_node.supervision import run_supervised
 from bamboojunction.telemetry.events import EventLog
 
-# The longest time that one long poll waits for changes. TCP keep-alive probes detect a dead
-# connection earlier.
-WATCH_SECONDS = 15.0
+# The longest time that one long poll waits for changes, which is also the longest that the store
+# allows. TCP keep-alive probes detect a dead connection earlier.
+WATCH_SECONDS = 30.0
 # Limits of the backoff after a failed call. The platform charges for failed calls too. The maximum
 # lets a node write its announcement again soon after the store recovers, before other nodes
 # consider the node gone.
@@ -41,7 +41,11 @@
 
 
 class CollectionWatcher:
-    """A task that lists one collection of the store and then watches it for changes."""
+    """A task that lists one collection of the store and then watches it for changes.
+
+    With ``may_be_stale`` the watches may be answered by a replica that lags. A batch only ever holds
+    changes after the revision that is known here, so that nothing is reverted.
+    """
 
     def __init__(
         self,
@@ -51,6 +55,7 @@
         rng: random.Random,
         events: EventLog,
         on_change: Callable[[list[PlatformObject], list[str], bool], None],
+        may_be_stale: bool = False,
     ):
         self._collection = collection
         self._batch_seconds = batch_seconds
@@ -58,6 +63,7 @@
         self._backoff = ExponentialBackoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, rng)
         self._events = events
         self._on_change = on_change
+        self._may_be_stale = may_be_stale
         self._revision: int | None = None
         self._is_reachable: bool | None = None
 
@@ -70,7 +76,9 @@
                 # After a failure, do not wait for changes, so that the response shows at once that
                 # the store is reachable again.
                 wait = WATCH_SECONDS if self._is_reachable else 0.0
-                result = await self._client.watch(self._collection, self._revision, wait)
+                result = await self._client.watch(
+                    self._collection, self._revision, wait, self._may_be_stale
+                )
             match result:
                 case Ok(ObjectList(revision, objects)):
                     self._revision = revision
@@ -147,6 +155,9 @@
             self._rng,
             self._events,
             self._apply_instances,
+            # A late change does no harm: the gate of an instance that left refuses calls, and a
+            # list, which may not be stale, comes before any watch.
+            may_be_stale=True,
         )
         self._tasks = [
             asyncio.create_task(run_supervised(name, run, self._events))
--- a/devtools/bamboo_standins/memory_platform.py
+++ b/devtools/bamboo_standins/memory_platform.py
@@ -86,9 +86,16 @@
         return self._apply_lost_answer() or deleted
 
     async def watch(
-        self, collection: str, after_revision: int, wait_seconds: float
+        self,
+        collection: str,
+        after_revision: int,
+        wait_seconds: float,
+        may_be_stale: bool = False,
     ) -> Result[WatchBatch, PlatformError]:
-        """Return the changes after ``after_revision``, waiting up to ``wait_seconds`` for one."""
+        """Return the changes after ``after_revision``, waiting up to ``wait_seconds`` for one.
+
+        Whether the answer is stale depends on the faults only.
+        """
         failure = await self._apply_call_faults("watches")
         if failure:
             return failure
--- a/tests/platform_node/fleet.py
+++ b/tests/platform_node/fleet.py
@@ -48,6 +48,9 @@
         self.may_respond = asyncio.Event()
         self.may_respond.set()
         self.drops_responses = False
+        # While set, all requests are refused as not executed.
+        self.is_refusing = False
+        self.refused = 0
 
     async def start(self, host: str) -> str:
         app = web.Application()
@@ -66,6 +69,9 @@
         headers = {"Bamboojunction-Request-Id": request_id, "Bamboojunction-Server-Stamp": "s"}
         if request.headers["Bamboojunction-Expect-Instance"] != self.instance_id:
             return web.Response(status=421, headers=headers)
+        if self.is_refusing:
+            self.refused += 1
+            return web.Response(status=503, headers=headers | {"Bamboojunction-Not-Executed": "1"})
         self.executed.append(request_id)
         self.headers.append(request.headers.copy())
         await self.may_respond.wait()
--- a/tests/platform_node/test_path.py
+++ b/tests/platform_node/test_path.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok
 
+from bamboojunction.core.admission.breaker import PROBE_INTERVAL_SECONDS
 from bamboojunction.core.outcomes import NotRun, NotRunReason
 from bamboojunction.core.pause_detector import PAUSE_CHECK_INTERVAL_SECONDS
 from bamboojunction.platform_node.process import CALLER_DRAIN_SECONDS, PlatformNode
@@ -52,6 +53,26 @@
         self.assertEqual(status, 503)
         self.assertIn("Retry-After", headers)
 
+    async def test_upstreams_that_refuse_everything_get_only_probes_until_they_accept(self):
+        await self.configure_and_join()
+        for name in ("a", "b"):
+            self.upstream(name).is_refusing = True
+        started = asyncio.get_running_loop().time()
+        for number in range(200):
+            status, _, _ = await self.fleet.request("c", f"/menu/{number}")
+            self.assertEqual(status, 503)
+            await asyncio.sleep(0.01)
+        elapsed = asyncio.get_running_loop().time() - started
+        refused = self.upstream("a").refused + self.upstream("b").refused
+        # Each breaker opens within half a second, which 50 requests a second and node fill.
+        probes = 2 * (elapsed - 0.5) / PROBE_INTERVAL_SECONDS
+        self.assertLess(refused, 2 * 50 + probes)
+        for name in ("a", "b"):
+            self.upstream(name).is_refusing = False
+        async with asyncio.timeout(3.0):
+            while (await self.fleet.request("c", "/menu/x"))[0] != 200:
+                await asyncio.sleep(0.05)
+
     async def test_request_reaches_the_service_of_its_route_unchanged(self):
         await self.configure_and_join()
         self.assertEqual(await self.fleet.readiness_status("a"), 200)
--- a/tests/platform_node/test_store_sync.py
+++ b/tests/platform_node/test_store_sync.py
@@ -4,12 +4,21 @@
 import os
 import random
 import unittest
+import unittest.mock
 
+import msgspec
 from result import Err, Ok
 
-from bamboojunction.core.membership.view import Announcement
+from bamboojunction.core.membership.view import ANNOUNCEMENT_COLLECTION, Announcement
 from bamboojunction.core.routes import CurrentRoutes
-from bamboojunction.platform.client import PlatformError, PlatformErrorKind, PlatformObject
+from bamboojunction.platform.client import (
+    ObjectList,
+    PlatformError,
+    PlatformErrorKind,
+    PlatformObject,
+    WatchBatch,
+)
+from bamboojunction.platform_node import store_sync as store_sync_module
 from bamboojunction.platform_node.store_sync import StoreSync, without_superseded
 from bamboojunction.platform_node.supervision import RESTART_SECONDS, run_supervised
 from bamboojunction.telemetry.events import EventLog
@@ -42,6 +51,27 @@
         pass
 
 
+class StaleStore(WriteOnlyStore):
+    """A store whose watches are answered by a scripted replica that lags behind its list."""
+
+    def __init__(self, listed: ObjectList, *batches: WatchBatch):
+        super().__init__()
+        self.listed = listed
+        self.batches = list(batches)
+        self.watched_revisions: list[tuple[str, int, bool]] = []
+
+    async def list(self, collection):
+        if collection != ANNOUNCEMENT_COLLECTION:
+            await asyncio.Event().wait()
+        return Ok(self.listed)
+
+    async def watch(self, collection, after_revision, wait_seconds, may_be_stale=False):
+        self.watched_revisions.append((collection, after_revision, may_be_stale))
+        if not self.batches:
+            await asyncio.Event().wait()
+        return Ok(self.batches.pop(0))
+
+
 class RecordingEventLog(EventLog):
     """An event log that records task failures."""
 
@@ -61,6 +91,28 @@
         self.assertEqual(found, {"b": new, "c": other})
 
 
+class StaleWatchTests(unittest.IsolatedAsyncioTestCase):
+    async def test_replica_that_lags_brings_nothing_back_and_moves_no_watch_back(self):
+        stays = announcement("stays", "10.0.0.1:1", 1.0)
+        item = PlatformObject(ANNOUNCEMENT_COLLECTION, "stays", 9, msgspec.to_builtins(stays))
+        # The replica has not yet seen revision 9, with which an instance left.
+        store = StaleStore(ObjectList(9, [item]), WatchBatch(4, [], []), WatchBatch(4, [], []))
+        descriptor = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, descriptor)
+        events = EventLog("n", LineOutput(descriptor, 0.0))
+        store_sync = StoreSync(store, CurrentRoutes(), random.Random(1), events)
+        self.enterContext(
+            unittest.mock.patch.object(store_sync_module, "INSTANCES_BATCH_SECONDS", 0)
+        )
+        store_sync.start()
+        self.addAsyncCleanup(store_sync.close)
+        async with asyncio.timeout(5.0):
+            while len(store.watched_revisions) < 3:
+                await asyncio.sleep(0.01)
+        self.assertEqual(store.watched_revisions, [(ANNOUNCEMENT_COLLECTION, 9, True)] * 3)
+        self.assertEqual(store_sync.announcements(), [stays])
+
+
 class TaskTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.log_descriptor = os.open(os.devnull, os.O_WRONLY)
