--- a/bamboojunction/core/admission/breaker.py
+++ b/bamboojunction/core/admission/breaker.py
@@ -1,8 +1,8 @@
 """The circuit breaker for an upstream that refuses calls although it calls itself healthy.
 
-Load pattern: the upstream refuses every call, or a large part of them, at once. Its gate looks idle,
+Load pattern: the upstream refuses every call at once, or a large part of them. Its gate looks idle,
 so it attracts the calls of its service, and each of them spends a retry of the fleet. If it refuses
-only a part, the breaker stays closed and tells the share, by which routers prefer other instances.
+only a part, the breaker stays closed and tells the share, so that routers prefer other instances.
 """
 
 from bamboojunction.core.admission.tickets import CompletionStatus
--- a/bamboojunction/core/load_reports.py
+++ b/bamboojunction/core/load_reports.py
@@ -58,8 +58,8 @@
 
     ``queued`` and ``in_flight`` are numbers of calls, and ``limit`` is the number that may run at
     once. ``below`` contains the levels of the services that the gate's own upstream calls. They are
-    relayed up the call chain to the node where requests enter. ``refused_share`` is the share of the
-    recent calls, from 0 to 1, that the upstream itself refused.
+    relayed up the call chain to the node where requests enter. ``refused_share`` is the share, from
+    0 to 1, of the recent calls that the upstream itself refused.
     """
 
     queued: int = 0
--- a/bamboojunction/platform_node/store_sync.py
+++ b/bamboojunction/platform_node/store_sync.py
@@ -43,7 +43,7 @@
 class CollectionWatcher:
     """A task that lists one collection of the store and then watches it for changes.
 
-    With ``may_be_stale`` the watches may be answered by a replica that lags. A batch only ever holds
+    With ``may_be_stale`` the watches may be answered by a replica that lags. A batch only holds
     changes after the revision that is known here, so that nothing is reverted.
     """
 
