--- a/tests/platform_node/test_path.py
+++ b/tests/platform_node/test_path.py
@@ -53,6 +53,28 @@
         self.assertEqual(status, 503)
         self.assertIn("Retry-After", headers)
 
+    async def test_upload_reaches_the_upstream_of_another_node_whole(self):
+        upload = route("r-upload", "/upload/", "billing", kind="upload")
+        await self.fleet.configure(
+            configuration(3, upload) | {"limits": {"max_body_bytes": 64_000_000}}
+        )
+        await self.fleet.join()
+        body = "x" * 360_000
+        status, _, text = await self.fleet.request("a", "/upload/1", "POST", data=body)
+        self.assertEqual((status, text), (200, f"POST /upload/1 {body}"))
+        for machine in self.fleet.machines.values():
+            self.assertEqual(machine.node.body_memory.held_bytes, 0)
+
+    async def test_upload_that_finds_no_memory_at_the_gate_is_refused_as_not_run(self):
+        upload = route("r-upload", "/upload/", "billing", kind="upload")
+        await self.fleet.configure(configuration(3, upload))
+        await self.fleet.join()
+        self.fleet.machines["c"].node.body_memory.limit_bytes = 50_000
+        status, headers, _ = await self.fleet.request("a", "/upload/1", "POST", data="x" * 60_000)
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 0.0)
+        self.assertEqual(self.upstream("c").executed, [])
+
     async def test_upstreams_that_refuse_everything_get_only_probes_until_they_accept(self):
         await self.configure_and_join()
         for name in ("a", "b"):
