Let two nodes of each data centre read the configuration for all and told the rest by gossip

Cause: every platform node listed and watched both collections without allowing stale answers, so calls to the store grew with nodes times changes.

Change: two nodes of each data centre, chosen on the ring, watch the configuration without allowing stale answers; the watches of all others may lag and cost a tenth. The first list of the instances may be stale, as gates refuse calls for instances that left. A restarted node replaces its announcement by one write. While the store fails, watchers probe it by the cheaper call. Calls are counted by purpose in bamboo_store_calls_total.

--- a/bamboojunction/core/membership/ring.py
+++ b/bamboojunction/core/membership/ring.py
@@ -13,13 +13,29 @@
 
 
 class Ring:
-    """The present instances of one data centre, ordered by hash; follows changes of the view."""
-
-    __slots__ = ("_data_centre", "_sorted_positions", "_successors", "_view", "_view_revision")
-
-    def __init__(self, view: MembershipView, data_centre: str):
+    """The present instances of one data centre, ordered by hash; follows changes of the view.
+
+    ``watchers_max`` of them watch the platform for changes on behalf of the others.
+    """
+
+    __slots__ = (
+        "_data_centre",
+        "_sorted_positions",
+        "_successors",
+        "_view",
+        "_view_revision",
+        "_watchers_max",
+    )
+
+    def __init__(
+        self,
+        view: MembershipView,
+        data_centre: str,
+        watchers_max: int = PLATFORM_WATCHERS_PER_RING,
+    ):
         self._view = view
         self._data_centre = data_centre
+        self._watchers_max = watchers_max
         self._view_revision = -1
         self._sorted_positions: list[tuple[int, str]] = []
         self._successors: dict[str, list[str]] = {}
@@ -47,7 +63,7 @@
 
     def watches_platform(self, instance: str) -> bool:
         """Return whether an instance is one of those that watch the platform for changes."""
-        return instance in self.instances()[:PLATFORM_WATCHERS_PER_RING]
+        return instance in self.instances()[: self._watchers_max]
 
     def _positions(self) -> list[tuple[int, str]]:
         if self._view_revision != self._view.revision:
--- a/bamboojunction/links/link.py
+++ b/bamboojunction/links/link.py
@@ -113,6 +113,10 @@
             return False
         return True
 
+    def send_soon(self, message: AnyMessage) -> None:
+        """Send a message that has no answer, without waiting for it."""
+        self._send_in_background(self.send(encode(message)))
+
     async def close(self) -> None:
         """Close the connection with a WebSocket closing handshake."""
         await self._connection.close()
--- a/bamboojunction/links/pool.py
+++ b/bamboojunction/links/pool.py
@@ -92,6 +92,10 @@
         """Send a message that has no answer; drop it when the node cannot be reached."""
         self._spawn(self._send(address, encode(message)))
 
+    def open_links(self) -> list[Link]:
+        """Return the outgoing links that are open."""
+        return [link for link in self._links_by_address.values() if link.is_open]
+
     def drop_link(self, address: str) -> None:
         """Abort the link to an unresponsive node, unless requests are pending on it."""
         link = self._links_by_address.get(address)
--- a/bamboojunction/links/server.py
+++ b/bamboojunction/links/server.py
@@ -45,12 +45,12 @@
         "_handlers",
         "_on_call",
         "_on_seal",
-        "_peer",
+        "peer",
     )
 
     def __init__(self, connection, peer: str, on_call, on_seal, handlers: MessageHandlers):
         self._connection: LinkServerConnection = connection
-        self._peer = peer
+        self.peer = peer
         self._on_call: CallHandler = on_call
         self._on_seal: SealHandler = on_seal
         self._handlers = handlers
@@ -79,13 +79,14 @@
                 if task is not None:
                     task.cancel()
             case Heartbeat(token=token, echo=False):
-                self._send_in_background(Heartbeat(token, True))
+                self.send_soon(Heartbeat(token, True))
             case Seal():
-                self._send_in_background(self._on_seal(message))
+                self.send_soon(self._on_seal(message))
             case _:
-                self._handlers.dispatch(self._peer, message)
+                self._handlers.dispatch(self.peer, message)
 
-    def _send_in_background(self, message: AnyMessage) -> None:
+    def send_soon(self, message: AnyMessage) -> None:
+        """Send a message that has no answer, without waiting for it."""
         task = asyncio.create_task(self._send(encode(message)))
         self._background_sends.add(task)
         task.add_done_callback(self._background_sends.discard)
@@ -115,7 +116,15 @@
 class LinkServer:
     """The listener for links from other nodes."""
 
-    __slots__ = ("_handlers", "_identity", "_on_call", "_on_seal", "_server", "_settings")
+    __slots__ = (
+        "_handlers",
+        "_identity",
+        "_incoming_links",
+        "_on_call",
+        "_on_seal",
+        "_server",
+        "_settings",
+    )
 
     def __init__(
         self,
@@ -131,6 +140,11 @@
         self._on_seal = on_seal
         self._handlers = handlers
         self._server: Server | None = None
+        self._incoming_links: set[IncomingLink] = set()
+
+    def open_links(self) -> list[IncomingLink]:
+        """Return the links from authenticated peers that are open."""
+        return list(self._incoming_links)
 
     async def start(self, host: str, port: int) -> None:
         """Start to listen on an address."""
@@ -166,7 +180,11 @@
         if peer is None:
             return
         link = IncomingLink(connection, peer, self._on_call, self._on_seal, self._handlers)
-        await link.run()
+        self._incoming_links.add(link)
+        try:
+            await link.run()
+        finally:
+            self._incoming_links.discard(link)
 
     async def _authenticate(self, connection: LinkServerConnection) -> str | None:
         first_hello = await self._receive_hello(connection)
--- a/bamboojunction/node/rate_limited_client.py
+++ b/bamboojunction/node/rate_limited_client.py
@@ -30,10 +30,12 @@
         await self._throttle_read("get")
         return self._count_error(await self._client.get(collection, name))
 
-    async def list(self, collection: str) -> Result[ObjectList, PlatformError]:
+    async def list(
+        self, collection: str, may_be_stale: bool = False
+    ) -> Result[ObjectList, PlatformError]:
         """Read a whole collection."""
         await self._throttle_read("list")
-        return self._count_error(await self._client.list(collection))
+        return self._count_error(await self._client.list(collection, may_be_stale))
 
     async def put(
         self, collection: str, name: str, value: dict, expected_version: int
--- a/bamboojunction/platform/client.py
+++ b/bamboojunction/platform/client.py
@@ -67,8 +67,14 @@
         """Read one object."""
 
     @abstractmethod
-    async def list(self, collection: str) -> Result[ObjectList, PlatformError]:
-        """Read a whole collection."""
+    async def list(
+        self, collection: str, may_be_stale: bool = False
+    ) -> Result[ObjectList, PlatformError]:
+        """Read a whole collection.
+
+        With ``may_be_stale`` the call is cheaper, and the list may be that of an older revision
+        than the caller knows.
+        """
 
     @abstractmethod
     async def put(
--- a/bamboojunction/platform/http_client.py
+++ b/bamboojunction/platform/http_client.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from enum import Enum, auto
 from typing import TypeVar
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import aiohttp
 import msgspec
@@ -36,7 +36,7 @@
 # The longest wait of a watch that the store accepts.
 WATCH_WAIT_MAX_MS = 30_000
 # Allows an answer from a replica that lags; such a call costs a tenth of another one.
-STALE_OK_QUERY = "&stale_ok=1"
+STALE_OK_QUERY = {"stale_ok": 1}
 
 Parsed = TypeVar("Parsed")
 
@@ -102,7 +102,9 @@
         path = _object_path(collection, name)
         return await self._call("GET", path, _Access.READ, _object_parser(collection))
 
-    async def list(self, collection: str) -> Result[ObjectList, PlatformError]:
+    async def list(
+        self, collection: str, may_be_stale: bool = False
+    ) -> Result[ObjectList, PlatformError]:
         """Read a whole collection, page by page.
 
         The result has the revision of the first page, so that a watch from there misses no change.
@@ -111,7 +113,10 @@
         revision: int | None = None
         after = ""
         while True:
-            path = _object_path(collection) + (f"?after={quote(after, safe='')}" if after else "")
+            query = {"after": after} if after else {}
+            if may_be_stale:
+                query |= STALE_OK_QUERY
+            path = _object_path(collection) + (f"?{urlencode(query)}" if query else "")
             result = await self._call("GET", path, _Access.READ, _json_parser(_Page))
             if result.is_err():
                 return result
@@ -155,9 +160,10 @@
     ) -> Result[WatchBatch, PlatformError]:
         """Wait up to ``wait_seconds`` for changes after a revision."""
         wait_ms = min(WATCH_WAIT_MAX_MS, int(wait_seconds * 1000))
-        path = f"{_object_path(collection)}?watch={after_revision}&wait_ms={wait_ms}"
+        query = {"watch": after_revision, "wait_ms": wait_ms}
         if may_be_stale:
-            path += STALE_OK_QUERY
+            query |= STALE_OK_QUERY
+        path = f"{_object_path(collection)}?{urlencode(query)}"
         timeout = wait_seconds + WATCH_TIMEOUT_MARGIN_SECONDS
         result = await self._call("GET", path, _Access.READ, _json_parser(_Events), timeout=timeout)
         return result.map(lambda events: _to_batch(collection, events))
--- a/bamboojunction/platform/node_settings.py
+++ b/bamboojunction/platform/node_settings.py
@@ -38,6 +38,7 @@
 
 class _Store(msgspec.Struct):
     address: str
+    history_s: float = 20.0
 
 
 class _Provider(msgspec.Struct):
@@ -68,7 +69,8 @@
     """The settings of a node, as the platform provides them; times are in seconds.
 
     ``retry_ratio``, ``retry_slack`` and ``retry_window_seconds`` bound the retries that reach a
-    service, summed over all nodes. ``memory_bytes`` is the memory limit of the process.
+    service, summed over all nodes. ``memory_bytes`` is the memory limit of the process, and
+    ``store_history_seconds`` the time for which the store keeps changes for watches.
     """
 
     instance: str
@@ -86,6 +88,7 @@
     retry_window_seconds: float
     retry_slack: float
     memory_bytes: int
+    store_history_seconds: float = 20.0
 
 
 def load_node_settings(path: Path) -> Result[PlatformNodeSettings, str]:
@@ -121,5 +124,6 @@
             retry_window_seconds=bounds.budget_window_s,
             retry_slack=bounds.budget_slack,
             memory_bytes=int(machine.limits.memory_mb * 1_000_000),
+            store_history_seconds=store.history_s,
         )
     )
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -12,6 +12,7 @@
 from bamboojunction.conf.addresses import split_address
 from bamboojunction.conf.settings import LinkSettings
 from bamboojunction.core.membership.reachability import ConnectFailureTracker
+from bamboojunction.core.membership.ring import Ring
 from bamboojunction.core.membership.view import Announcement, InstanceState, MembershipView
 from bamboojunction.core.memory_budget import MemoryBudget
 from bamboojunction.core.outcomes import NotRun, NotRunReason
@@ -69,6 +70,8 @@
     idle_close_seconds=60.0,
     frame_max_bytes=LINK_FRAME_MAX_BYTES,
 )
+# Nodes of each data centre that follow the configuration without allowing stale answers.
+STORE_WATCHERS_PER_DATA_CENTRE = 2
 # Part of the process's memory limit that the bodies of requests and responses may take. A body has
 # up to two copies, as it is encoded for a link or for the upstream.
 BODY_MEMORY_SHARE = 0.25
@@ -89,6 +92,7 @@
         self.events = EventLog(settings.instance, LineOutput(log_descriptor, self._loop.time()))
         self.current_routes = CurrentRoutes()
         self.view = MembershipView()
+        self._ring = Ring(self.view, settings.data_centre, STORE_WATCHERS_PER_DATA_CENTRE)
         self.router = Router.from_config(settings)
         self._pause_detector = PauseDetector(self._loop.time())
         host, _ = split_address(settings.link_address)
@@ -119,14 +123,22 @@
             self.events,
         )
         client = HttpPlatformClient([settings.store_address], STORE_TIMEOUT_SECONDS)
-        self.store_sync = StoreSync(client, self.current_routes, random.Random(), self.events)
+        self.store_sync = StoreSync(
+            client,
+            self.current_routes,
+            random.Random(),
+            self.events,
+            settings.store_history_seconds,
+        )
         self.store_sync.own_instance = settings.instance
         self.store_sync.on_instances_changed = self._instances_changed
-        self.peer_sync = PeerSync(settings.link_address, self.store_sync, self.links, self.events)
-        self.peer_sync.on_link_opened = self._connect_failures.record_success
         self.link_server = LinkServer(
             identity, LINK_SETTINGS, self._serve_request, _refuse_seal, self.links.handlers
         )
+        self.peer_sync = PeerSync(
+            settings.link_address, self.store_sync, self.links, self.link_server, self.events
+        )
+        self.peer_sync.on_link_opened = self._connect_failures.record_success
         ports = PlatformNodeAppPorts(
             split_address(settings.caller_address)[1],
             split_address(settings.ready_address)[1],
@@ -289,6 +301,7 @@
             if entry.data_centre != self.settings.data_centre
         )
         self.forwarder.node_count = max(1, len(by_instance))
+        self.store_sync.set_store_watcher(self._ring.watches_platform(self.settings.instance))
         for service in self.view.pop_changed_services():
             self.router.update_instances(service, self.view.serving(service))
         self.events.instances_changed(joined, left, len(by_instance))
--- a/bamboojunction/platform_node/store_sync.py
+++ b/bamboojunction/platform_node/store_sync.py
@@ -1,8 +1,9 @@
 """The tasks that synchronize a node with the platform's store."""
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from result import Err, Ok
@@ -11,25 +12,16 @@
 from bamboojunction.core.retries.exponential_backoff import ExponentialBackoff
 from bamboojunction.core.routes import CurrentRoutes
 from bamboojunction.platform import configuration
-from bamboojunction.platform.client import (
-    ObjectList,
-    PlatformClient,
-    PlatformErrorKind,
-    PlatformObject,
-    WatchBatch,
-)
+from bamboojunction.platform.client import PlatformClient, PlatformErrorKind, PlatformObject
 from bamboojunction.platform.configuration import DecodedConfiguration
+from bamboojunction.platform_node.collection_follower import (
+    RETRY_SECONDS_MAX,
+    RETRY_SECONDS_MIN,
+    CollectionFollower,
+)
 from bamboojunction.platform_node.supervision import run_supervised
 from bamboojunction.telemetry.events import EventLog
 
-# The longest time that one long poll waits for changes, which is also the longest that the store
-# allows. TCP keep-alive probes detect a dead connection earlier.
-WATCH_SECONDS = 30.0
-# Limits of the backoff after a failed call. The platform charges for failed calls too. The maximum
-# lets a node write its announcement again soon after the store recovers, before other nodes
-# consider the node gone.
-RETRY_SECONDS_MIN = 0.2
-RETRY_SECONDS_MAX = 0.9
 # Mean interval at which each node looks for announcements of unreachable nodes; the first to
 # find one removes it.
 UNREACHABLE_CHECK_SECONDS = 5.0
@@ -38,76 +30,18 @@
 # departed instance refuses calls.
 ROUTES_BATCH_SECONDS = 0.1
 INSTANCES_BATCH_SECONDS = 1.0
-
-
-class CollectionWatcher:
-    """A task that lists one collection of the store and then watches it for changes.
-
-    With ``may_be_stale`` the watches may be answered by a replica that lags. A batch only holds
-    changes after the revision that is known here, so that nothing is reverted.
-    """
-
-    def __init__(
-        self,
-        collection: str,
-        batch_seconds: float,
-        client: PlatformClient,
-        rng: random.Random,
-        events: EventLog,
-        on_change: Callable[[list[PlatformObject], list[str], bool], None],
-        may_be_stale: bool = False,
-    ):
-        self._collection = collection
-        self._batch_seconds = batch_seconds
-        self._client = client
-        self._backoff = ExponentialBackoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, rng)
-        self._events = events
-        self._on_change = on_change
-        self._may_be_stale = may_be_stale
-        self._revision: int | None = None
-        self._is_reachable: bool | None = None
-
-    async def run(self) -> None:
-        """Watch the collection until cancelled; back off after a failure."""
-        while True:
-            if self._revision is None:
-                result = await self._client.list(self._collection)
-            else:
-                # After a failure, do not wait for changes, so that the response shows at once that
-                # the store is reachable again.
-                wait = WATCH_SECONDS if self._is_reachable else 0.0
-                result = await self._client.watch(
-                    self._collection, self._revision, wait, self._may_be_stale
-                )
-            match result:
-                case Ok(ObjectList(revision, objects)):
-                    self._revision = revision
-                    self._record_reachability(True)
-                    self._on_change(objects, [], True)
-                case Ok(WatchBatch(revision, changed, deleted)):
-                    self._revision = max(self._revision, revision)
-                    self._record_reachability(True)
-                    self._on_change(changed, deleted, False)
-                    await asyncio.sleep(self._batch_seconds)
-                case Err(error) if error.kind is PlatformErrorKind.COMPACTED:
-                    self._revision = None
-                case Err(error):
-                    self._record_reachability(False, f"{error.kind}: {error.detail}")
-                    await asyncio.sleep(self._backoff.next_delay())
-
-    def _record_reachability(self, is_reachable: bool, detail: str = "") -> None:
-        if is_reachable:
-            self._backoff.reset()
-        if is_reachable is not self._is_reachable:
-            self._is_reachable = is_reachable
-            self._events.store_reachability_changed(self._collection, is_reachable, detail)
+# Until then a node that has started leaves the announcement of its previous process in the store.
+# The upstream usually outlived that process, and its first heartbeat replaces the announcement by
+# one write.
+FIRST_HEARTBEAT_SECONDS = 3.0
 
 
 class StoreSync:
     """A synchronizer of the node with the store.
 
     It publishes the announcement of the local upstream, and follows the configuration and the
-    announcements of all nodes.
+    announcements of all nodes. Only nodes with the role of a store watcher need current answers
+    about the configuration; the others learn of changes from peers.
     """
 
     def __init__(
@@ -116,6 +50,7 @@
         current_routes: CurrentRoutes,
         rng: random.Random,
         events: EventLog,
+        history_seconds: float,
     ):
         self._client = client
         self._current_routes = current_routes
@@ -125,56 +60,80 @@
         self._desired_announcement: Announcement | None = None
         self._stored_version = 0
         self._stored_announcement: Announcement | None = None
+        self._first_announced = asyncio.Event()
         self._own_announcement_changed = asyncio.Event()
         self._by_instance: dict[str, Announcement] = {}
         self._version_by_instance: dict[str, int] = {}
         self.on_instances_changed: Callable[[dict[str, Announcement]], None] = (
             lambda by_instance: None
         )
+        # Called with the source of each configuration that becomes active: "store" or a peer.
+        self.on_configuration_applied: Callable[[str], None] = lambda source: None
         self.own_instance = ""
         self.routes_document: dict | None = None
         self._has_listed_instances = False
         # When the active configuration was applied, and when the store last reported instances.
         self.routes_applied_at = self.instances_updated_at = self._loop.time()
-        self._tasks: list[asyncio.Task] = []
-
-    def start(self) -> None:
-        """Start the background tasks."""
-        routes = CollectionWatcher(
+        self._is_store_watcher = False
+        self._routes = CollectionFollower(
             configuration.COLLECTION,
             ROUTES_BATCH_SECONDS,
-            self._client,
-            self._rng,
-            self._events,
+            history_seconds,
+            client,
+            rng,
+            events,
             self._apply_routes,
+            may_be_stale=lambda: not self._is_store_watcher,
+            first_list_may_be_stale=False,
         )
-        instances = CollectionWatcher(
+        # A late change of the instances does no harm, as the gate of an instance that left refuses
+        # calls and a call names the service that it is meant for.
+        self._instances = CollectionFollower(
             ANNOUNCEMENT_COLLECTION,
             INSTANCES_BATCH_SECONDS,
-            self._client,
-            self._rng,
-            self._events,
+            history_seconds,
+            client,
+            rng,
+            events,
             self._apply_instances,
-            # A late change does no harm: the gate of an instance that left refuses calls, and a
-            # list, which may not be stale, comes before any watch.
-            may_be_stale=True,
+            may_be_stale=lambda: True,
+            first_list_may_be_stale=True,
         )
+        self._tasks: list[asyncio.Task] = []
+        self._follow_routes_task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start the background tasks."""
         self._tasks = [
-            asyncio.create_task(run_supervised(name, run, self._events))
-            for name, run in (
-                ("follow_routes", routes.run),
-                ("follow_instances", instances.run),
-                ("announce", self._announce),
-            )
+            self._start_task("follow_instances", self._instances.run),
+            self._start_task("announce", self._announce),
         ]
+        self._follow_routes_task = self._start_task("follow_routes", self._routes.run)
 
     async def close(self) -> None:
         """Cancel the background tasks and close the connections."""
-        for task in self._tasks:
+        tasks = [*self._tasks]
+        if self._follow_routes_task is not None:
+            tasks.append(self._follow_routes_task)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._client.close()
 
+    def set_store_watcher(self, is_store_watcher: bool) -> None:
+        """Set whether this node follows the configuration without allowing stale answers."""
+        if is_store_watcher is self._is_store_watcher:
+            return
+        self._is_store_watcher = is_store_watcher
+        self._events.store_watcher_changed(is_store_watcher)
+        if is_store_watcher and self._follow_routes_task is not None:
+            # The pending watch may be stale; the next one may not.
+            self._follow_routes_task.cancel()
+            self._follow_routes_task = self._start_task("follow_routes", self._routes.run)
+
+    def _start_task(self, name: str, run: Callable[[], Awaitable[None]]) -> asyncio.Task:
+        return asyncio.create_task(run_supervised(name, run, self._events))
+
     @property
     def routes_version(self) -> int:
         """Return the version of the active configuration, or 0 if there is none."""
@@ -188,6 +147,7 @@
             self._events.configuration_applied(decoded.routes.version, source)
             if decoded.problems:
                 self._events.configuration_incomplete(decoded.routes.version, decoded.problems)
+            self.on_configuration_applied(source)
 
     def announcements(self) -> list[Announcement]:
         """Return all announcements that this node knows."""
@@ -214,9 +174,13 @@
     def announce(self, announcement: Announcement | None) -> None:
         """Set the announcement that the store should hold for this node; None deletes it."""
         self._desired_announcement = announcement
+        self._first_announced.set()
         self._own_announcement_changed.set()
 
     async def _announce(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_HEARTBEAT_SECONDS):
+                await self._first_announced.wait()
         while True:
             await self._own_announcement_changed.wait()
             self._own_announcement_changed.clear()
@@ -233,6 +197,7 @@
         if version is None:
             # Known only from a peer, or already deleted from the store.
             return
+        self._events.store_called(ANNOUNCEMENT_COLLECTION, "remove")
         result = await self._client.delete(ANNOUNCEMENT_COLLECTION, name, version)
         self._events.announcement_removed(name, result.is_ok())
         if result.is_ok():
@@ -242,6 +207,9 @@
     async def _write(self) -> bool:
         """Reconcile this node's announcement by one store call; return whether it succeeded."""
         desired = self._desired_announcement
+        self._events.store_called(
+            ANNOUNCEMENT_COLLECTION, "withdraw" if desired is None else "announce"
+        )
         if desired is None:
             result = await self._client.delete(
                 ANNOUNCEMENT_COLLECTION, self.own_instance, self._stored_version
@@ -265,6 +233,7 @@
 
     async def _read_own_announcement(self) -> bool:
         """Read what the store holds for this node; return whether the read succeeded."""
+        self._events.store_called(ANNOUNCEMENT_COLLECTION, "read")
         match await self._client.get(ANNOUNCEMENT_COLLECTION, self.own_instance):
             case Ok(found):
                 self._stored_version = found.version
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -85,6 +85,14 @@
         name = "store.regained" if is_reachable else "store.lost"
         self._emit(name, True, collection=collection, detail=detail)
 
+    def store_called(self, collection: str, purpose: str, may_be_stale: bool = False) -> None:
+        """Count a call to the store; calls are not logged."""
+        self.prometheus_metrics.record_store_call(collection, purpose, may_be_stale)
+
+    def store_watcher_changed(self, is_store_watcher: bool) -> None:
+        """Log that this node became a store watcher of its data centre, or no longer is one."""
+        self._emit("store.watcher", True, active=is_store_watcher)
+
     def announcement_failed(self, detail: str) -> None:
         """Log that the node's announcement could not be written to the store."""
         self._emit("store.announce_failed", True, detail=detail)
--- a/bamboojunction/telemetry/prometheus.py
+++ b/bamboojunction/telemetry/prometheus.py
@@ -24,6 +24,7 @@
         "_seconds",
         "_series_by_labels",
         "_state",
+        "_store_calls",
         "collect_state",
     )
 
@@ -40,6 +41,11 @@
             "gate_answers", "Answers of this node's gate.", ("kind", "outcome")
         )
         self._dropped_lines = self._counter("log_lines_left_out", "Log lines left out.", ())
+        self._store_calls = self._counter(
+            "store_calls",
+            "Calls to the platform's store, including failed ones.",
+            ("collection", "purpose", "stale"),
+        )
         self._seconds = Histogram(
             "bamboo_seconds",
             "Duration of a request, by stage.",
@@ -82,6 +88,11 @@
         """Count log lines that were dropped by rate limiting or a full buffer."""
         self._dropped_lines.inc(lines)
 
+    def record_store_call(self, collection: str, purpose: str, may_be_stale: bool) -> None:
+        """Count a call to the store and whether its answer may be stale, which costs less."""
+        stale = "yes" if may_be_stale else "no"
+        self._series_of(self._store_calls, collection, purpose, stale).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         for name, value in self.collect_state().items():
--- a/devtools/bamboo_standins/memory_platform.py
+++ b/devtools/bamboo_standins/memory_platform.py
@@ -58,8 +58,10 @@
         failure = await self._apply_call_faults("reads")
         return failure or self._count_received(self._readable_store().get(collection, name))
 
-    async def list(self, collection: str) -> Result[ObjectList, PlatformError]:
-        """Return all objects of a collection."""
+    async def list(
+        self, collection: str, may_be_stale: bool = False
+    ) -> Result[ObjectList, PlatformError]:
+        """Return all objects of a collection; whether it is stale depends on the faults only."""
         failure = await self._apply_call_faults("reads")
         return failure or self._count_received(Ok(self._readable_store().list(collection)))
 
--- a/tests/platform_node/test_peer_sync.py
+++ b/tests/platform_node/test_peer_sync.py
@@ -31,7 +31,7 @@
         self.links = LinkPool(identity, LinkSettings(), host)
         events = EventLog(name, output)
         client = HttpPlatformClient([], 1.0)
-        self.store_sync = StoreSync(client, self.current_routes, random.Random(1), events)
+        self.store_sync = StoreSync(client, self.current_routes, random.Random(1), events, 20.0)
         self.server = LinkServer(identity, LinkSettings(), None, None, self.links.handlers)
         self.events = events
 
@@ -39,7 +39,9 @@
         await self.server.start(self.host, 0)
         port = self.server.port
         self.address = f"{self.host}:{port}"
-        self.peer_sync = PeerSync(self.address, self.store_sync, self.links, self.events)
+        self.peer_sync = PeerSync(
+            self.address, self.store_sync, self.links, self.server, self.events
+        )
 
     async def close(self) -> None:
         await self.links.close()
@@ -71,6 +73,18 @@
         await self.wait_until(lambda: self.joining.current_routes.routes.version == 7)
         await self.wait_until(lambda: self.joining.store_sync.announcements() == [entry])
 
+    async def test_new_version_reaches_the_other_end_of_a_link_whoever_opened_it(self):
+        for version, source in ((7, self.established), (9, self.joining)):
+            self.established.links.send(self.joining.address, self.first_message())
+            await self.wait_until(self.joining.server.open_links)
+            source.store_sync.offer_configuration(
+                decode_configuration({**CONFIGURATION, "version": version}).unwrap(), "store"
+            )
+            for peer in (self.established, self.joining):
+                await self.wait_until(
+                    lambda peer=peer, version=version: peer.current_routes.routes.version == version
+                )
+
     async def test_older_configuration_of_a_peer_changes_nothing(self):
         newer = {**CONFIGURATION, "version": 9}
         self.joining.store_sync.offer_configuration(decode_configuration(newer).unwrap(), "test")
--- a/tests/platform_node/test_store_sync.py
+++ b/tests/platform_node/test_store_sync.py
@@ -1,4 +1,4 @@
-"""Writing and removal of announcements in the store, and restarts of failed tasks."""
+"""How a node follows the store, and writes and removes announcements in it."""
 
 import asyncio
 import os
@@ -11,6 +11,7 @@
 
 from bamboojunction.core.membership.view import ANNOUNCEMENT_COLLECTION, Announcement
 from bamboojunction.core.routes import CurrentRoutes
+from bamboojunction.platform import configuration
 from bamboojunction.platform.client import (
     ObjectList,
     PlatformError,
@@ -24,6 +25,8 @@
 from bamboojunction.telemetry.events import EventLog
 from bamboojunction.telemetry.line_output import LineOutput
 
+HISTORY_SECONDS = 20.0
+
 
 def announcement(instance, address, started_at):
     return Announcement(instance, "inc", "menu", "lac", "nord", address, started_at)
@@ -36,7 +39,7 @@
         self.deleted: list[str] = []
         self.written = asyncio.Event()
 
-    async def list(self, collection):
+    async def list(self, collection, may_be_stale=False):
         await asyncio.Event().wait()
 
     async def put(self, collection, name, value, version):
@@ -51,25 +54,37 @@
         pass
 
 
-class StaleStore(WriteOnlyStore):
-    """A store whose watches are answered by a scripted replica that lags behind its list."""
+class ScriptedStore(WriteOnlyStore):
+    """A store with one collection, whose watches get scripted responses after a list."""
 
-    def __init__(self, listed: ObjectList, *batches: WatchBatch):
+    def __init__(self, listed: ObjectList, *batches: WatchBatch | PlatformError):
         super().__init__()
+        self.collection = ANNOUNCEMENT_COLLECTION
         self.listed = listed
+        self.lists_may_be_stale: list[bool] = []
         self.batches = list(batches)
+        self.put_versions: list[int] = []
         self.watched_revisions: list[tuple[str, int, bool]] = []
 
-    async def list(self, collection):
-        if collection != ANNOUNCEMENT_COLLECTION:
+    async def list(self, collection, may_be_stale=False):
+        if collection != self.collection:
             await asyncio.Event().wait()
+        self.lists_may_be_stale.append(may_be_stale)
         return Ok(self.listed)
 
     async def watch(self, collection, after_revision, wait_seconds, may_be_stale=False):
         self.watched_revisions.append((collection, after_revision, may_be_stale))
         if not self.batches:
             await asyncio.Event().wait()
-        return Ok(self.batches.pop(0))
+        match self.batches.pop(0):
+            case PlatformError() as error:
+                return Err(error)
+            case batch:
+                return Ok(batch)
+
+    async def put(self, collection, name, value, version):
+        self.put_versions.append(version)
+        return await super().put(collection, name, value, version)
 
 
 class RecordingEventLog(EventLog):
@@ -91,26 +106,74 @@
         self.assertEqual(found, {"b": new, "c": other})
 
 
-class StaleWatchTests(unittest.IsolatedAsyncioTestCase):
+class FollowerTests(unittest.IsolatedAsyncioTestCase):
     async def test_replica_that_lags_brings_nothing_back_and_moves_no_watch_back(self):
         stays = announcement("stays", "10.0.0.1:1", 1.0)
         item = PlatformObject(ANNOUNCEMENT_COLLECTION, "stays", 9, msgspec.to_builtins(stays))
         # The replica has not yet seen revision 9, with which an instance left.
-        store = StaleStore(ObjectList(9, [item]), WatchBatch(4, [], []), WatchBatch(4, [], []))
+        store = ScriptedStore(ObjectList(9, [item]), WatchBatch(4, [], []), WatchBatch(4, [], []))
+        store_sync = self.start_store_sync(store)
+        await self.wait_for_watches(store, 3)
+        self.assertEqual(store.watched_revisions, [(ANNOUNCEMENT_COLLECTION, 9, True)] * 3)
+        self.assertEqual(store_sync.announcements(), [stays])
+
+    async def test_only_the_first_list_of_the_instances_may_be_stale(self):
+        compacted = PlatformError(PlatformErrorKind.COMPACTED)
+        store = ScriptedStore(ObjectList(9, []), compacted)
+        self.start_store_sync(store)
+        await self.wait_for_watches(store, 2)
+        self.assertEqual(store.lists_may_be_stale, [True, False])
+
+    async def test_store_watcher_replaces_its_stale_watch_of_the_configuration(self):
+        store = ScriptedStore(ObjectList(9, []))
+        store.collection = configuration.COLLECTION
+        store_sync = self.start_store_sync(store)
+        await self.wait_for_watches(store, 1)
+        store_sync.set_store_watcher(True)
+        await self.wait_for_watches(store, 2)
+        self.assertEqual(store.lists_may_be_stale, [False])
+        self.assertEqual(
+            store.watched_revisions,
+            [(configuration.COLLECTION, 9, True), (configuration.COLLECTION, 9, False)],
+        )
+
+    async def test_store_watcher_probes_a_failed_store_by_cheap_calls(self):
+        failed = PlatformError(PlatformErrorKind.UNAVAILABLE)
+        store = ScriptedStore(ObjectList(9, []), failed, failed, WatchBatch(9, [], []))
+        store.collection = configuration.COLLECTION
+        store_sync = self.start_store_sync(store)
+        store_sync.set_store_watcher(True)
+        await self.wait_for_watches(store, 4)
+        may_be_stale = [may_be_stale for _, _, may_be_stale in store.watched_revisions]
+        self.assertEqual(may_be_stale, [False, True, True, False])
+
+    async def test_restarted_node_replaces_its_announcement_by_one_write(self):
+        earlier = announcement("n", "10.0.0.1:1", 1.0)
+        item = PlatformObject(ANNOUNCEMENT_COLLECTION, "n", 6, msgspec.to_builtins(earlier))
+        store = ScriptedStore(ObjectList(9, [item]))
+        store_sync = self.start_store_sync(store)
+        await self.wait_for_watches(store, 1)
+        store_sync.announce(announcement("n", "10.0.0.1:1", 2.0))
+        await asyncio.wait_for(store.written.wait(), 5.0)
+        self.assertEqual((store.deleted, store.put_versions), ([], [6]))
+
+    def start_store_sync(self, store: ScriptedStore) -> StoreSync:
         descriptor = os.open(os.devnull, os.O_WRONLY)
         self.addCleanup(os.close, descriptor)
         events = EventLog("n", LineOutput(descriptor, 0.0))
-        store_sync = StoreSync(store, CurrentRoutes(), random.Random(1), events)
         self.enterContext(
             unittest.mock.patch.object(store_sync_module, "INSTANCES_BATCH_SECONDS", 0)
         )
+        store_sync = StoreSync(store, CurrentRoutes(), random.Random(1), events, HISTORY_SECONDS)
+        store_sync.own_instance = "n"
         store_sync.start()
         self.addAsyncCleanup(store_sync.close)
+        return store_sync
+
+    async def wait_for_watches(self, store: ScriptedStore, count: int) -> None:
         async with asyncio.timeout(5.0):
-            while len(store.watched_revisions) < 3:
+            while len(store.watched_revisions) < count:
                 await asyncio.sleep(0.01)
-        self.assertEqual(store.watched_revisions, [(ANNOUNCEMENT_COLLECTION, 9, True)] * 3)
-        self.assertEqual(store_sync.announcements(), [stays])
 
 
 class TaskTests(unittest.IsolatedAsyncioTestCase):
@@ -121,7 +184,7 @@
     async def test_announcements_known_only_from_peers_are_not_removed_from_the_store(self):
         store = WriteOnlyStore()
         events = EventLog("n", LineOutput(self.log_descriptor, 0.0))
-        store_sync = StoreSync(store, CurrentRoutes(), random.Random(1), events)
+        store_sync = StoreSync(store, CurrentRoutes(), random.Random(1), events, HISTORY_SECONDS)
         store_sync.own_instance = "new"
         store_sync.start()
         self.addAsyncCleanup(store_sync.close)
