Asked the next holder for a configuration that one did not send, and simulated its way to the nodes

Cause: a node asked one of the peers that told it of a version and nobody else. If that request or its answer was lost, the node waited for its own watch, or for the next version if the store refused it.

Change: a node remembers up to eight holders of the newest version and asks the next one after 0.3 s. Watches end after three quarters of the store's history, which saves a few calls.

--- a/bamboojunction/platform_node/collection_follower.py
+++ b/bamboojunction/platform_node/collection_follower.py
@@ -21,7 +21,7 @@
 WATCH_SECONDS_MAX = 30.0
 # Part of the store's history after which a watch ends. Its response moves the revision on, so that
 # the next watch does not start from a revision that the store has forgotten.
-WATCH_HISTORY_SHARE = 0.6
+WATCH_HISTORY_SHARE = 0.75
 # Limits of the backoff after a failed call. The platform charges for failed calls too. The maximum
 # lets a node write its announcement again soon after the store recovers, before other nodes
 # consider the node gone.
--- a/bamboojunction/platform_node/peer_sync.py
+++ b/bamboojunction/platform_node/peer_sync.py
@@ -12,7 +12,10 @@
 from result import Err, Ok
 
 from bamboojunction.core.membership.messages import AnnouncementUpdate
-from bamboojunction.core.membership.version_gossip import VersionGossip
+from bamboojunction.core.membership.version_gossip import (
+    REQUEST_TIMEOUT_SECONDS,
+    VersionGossip,
+)
 from bamboojunction.links.gossip_codec import from_wire, to_wire
 from bamboojunction.links.messages import AnyMessage, Digest, TableRequest, TableUpdate, ViewDelta
 from bamboojunction.links.pool import LinkPool
@@ -45,6 +48,7 @@
         self._events = events
         self._loop = asyncio.get_running_loop()
         self._gossip = VersionGossip(random.Random())
+        self._request_timer: asyncio.TimerHandle | None = None
         store_sync.on_configuration_applied = self._tell_peers
         links.on_connected = self._send_digest
         self.on_link_opened: Callable[[str], None] = lambda address: None
@@ -76,9 +80,30 @@
 
     def _request_if_newer(self, peer: str, message: AnyMessage) -> None:
         """Request the state of a peer whose configuration is newer."""
-        version = self._store_sync.routes_version
-        if self._gossip.should_request(version, message.table_version, self._loop.time()):
-            self._links.send(message.address, TableRequest(version, self._own_address))
+        self._request_from(
+            self._gossip.record_told(
+                self._store_sync.routes_version,
+                message.table_version,
+                message.address,
+                self._loop.time(),
+            )
+        )
+
+    def _request_from(self, address: str | None) -> None:
+        """Request the configuration from a peer, and later from the next one if it is missing."""
+        if address is None:
+            return
+        self._links.send(address, TableRequest(self._store_sync.routes_version, self._own_address))
+        if self._request_timer is not None:
+            self._request_timer.cancel()
+        self._request_timer = self._loop.call_later(
+            REQUEST_TIMEOUT_SECONDS, self._request_from_next
+        )
+
+    def _request_from_next(self) -> None:
+        self._request_from(
+            self._gossip.next_to_ask(self._store_sync.routes_version, self._loop.time())
+        )
 
     def _send_state(self, peer: str, message: AnyMessage) -> None:
         document = self._store_sync.routes_document
--- a/devtools/bamboo_standins/memory_platform.py
+++ b/devtools/bamboo_standins/memory_platform.py
@@ -21,12 +21,16 @@
 
 @dataclass(slots=True)
 class InMemoryPlatform:
-    """The object store, call counts and watch notifications that several clients share."""
+    """The object store, call counts and watch notifications that several clients share.
+
+    Watches that may be stale get each change ``replica_lag_seconds`` late.
+    """
 
     store: ObjectStore = field(default_factory=ObjectStore)
     call_counts: Counter[str] = field(default_factory=Counter)
     timed_calls: list[tuple[float, str]] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    replica_lag_seconds: float = 0.0
 
     def wake_watches(self) -> None:
         """Wake all pending watches."""
@@ -94,11 +98,8 @@
         wait_seconds: float,
         may_be_stale: bool = False,
     ) -> Result[WatchBatch, PlatformError]:
-        """Return the changes after ``after_revision``, waiting up to ``wait_seconds`` for one.
-
-        Whether the answer is stale depends on the faults only.
-        """
-        failure = await self._apply_call_faults("watches")
+        """Return the changes after ``after_revision``, waiting up to ``wait_seconds`` for one."""
+        failure = await self._apply_call_faults("stale watches" if may_be_stale else "watches")
         if failure:
             return failure
         loop = asyncio.get_running_loop()
@@ -118,6 +119,8 @@
                     await self.shared.changed.wait()
             except TimeoutError:
                 continue
+        if may_be_stale and batch.is_ok() and (batch.ok().changed or batch.ok().deleted):
+            await asyncio.sleep(self.shared.replica_lag_seconds)
         if self.faults.down:
             return Err(PlatformError(PlatformErrorKind.UNAVAILABLE, "reset"))
         return self._count_received(batch)
--- a/tests/membership/test_version_gossip.py
+++ b/tests/membership/test_version_gossip.py
@@ -5,6 +5,7 @@
 
 from bamboojunction.core.membership.version_gossip import (
     FANOUT,
+    HOLDERS_MAX,
     REQUEST_TIMEOUT_SECONDS,
     VersionGossip,
 )
@@ -21,16 +22,29 @@
         self.assertEqual(len(set(told)), FANOUT)
         self.assertEqual(self.gossip.peers_to_tell(["n-1", "n-2"], "n-1"), ["n-2"])
 
-    def test_version_is_requested_once_until_the_request_has_timed_out(self):
-        self.assertTrue(self.gossip.should_request(3, 5, 10.0))
-        self.assertFalse(self.gossip.should_request(3, 5, 10.1))
-        self.assertTrue(self.gossip.should_request(3, 5, 10.0 + REQUEST_TIMEOUT_SECONDS))
+    def test_version_is_requested_from_one_peer_and_from_the_next_if_it_does_not_come(self):
+        self.assertEqual(self.gossip.record_told(3, 5, "a", 10.0), "a")
+        self.assertIsNone(self.gossip.record_told(3, 5, "b", 10.0))
+        self.assertEqual(self.gossip.next_to_ask(3, 10.0 + REQUEST_TIMEOUT_SECONDS), "b")
+        self.assertIsNone(self.gossip.next_to_ask(3, 20.0))
+        self.assertEqual(self.gossip.record_told(3, 5, "c", 20.0), "c")
+
+    def test_nobody_is_asked_once_the_version_has_arrived(self):
+        self.gossip.record_told(3, 5, "a", 10.0)
+        self.gossip.record_told(3, 5, "b", 10.0)
+        self.assertIsNone(self.gossip.next_to_ask(5, 20.0))
 
     def test_newer_version_is_requested_at_once_and_known_ones_never(self):
-        self.assertTrue(self.gossip.should_request(3, 5, 10.0))
-        self.assertTrue(self.gossip.should_request(3, 6, 10.0))
-        self.assertFalse(self.gossip.should_request(6, 6, 20.0))
-        self.assertFalse(self.gossip.should_request(6, 5, 20.0))
+        self.assertEqual(self.gossip.record_told(3, 5, "a", 10.0), "a")
+        self.assertEqual(self.gossip.record_told(3, 6, "b", 10.0), "b")
+        self.assertIsNone(self.gossip.record_told(6, 6, "c", 20.0))
+        self.assertIsNone(self.gossip.record_told(6, 5, "c", 20.0))
+
+    def test_number_of_remembered_peers_is_bounded(self):
+        for number in range(100):
+            self.gossip.record_told(3, 5, f"n-{number}", 10.0)
+        asked = [self.gossip.next_to_ask(3, 20.0 + second) for second in range(100)]
+        self.assertEqual(sum(address is not None for address in asked), HOLDERS_MAX)
 
 
 class FleetTests(unittest.TestCase):
