--- a/bamboojunction/operators/explain.py
+++ b/bamboojunction/operators/explain.py
@@ -55,13 +55,29 @@
     request_id: str
     lines: list[LogLine] = field(default_factory=list)
 
-    def cause(self) -> str:
-        """Describe why the request ended, following failed child calls to the deepest one."""
-        answered = [
+    @property
+    def is_explained(self) -> bool:
+        """Return whether ``cause`` tells more than that the request failed."""
+        answered = self._final_lines()
+        if not answered:
+            return False
+        last_line = answered[-1]
+        is_success = last_line.fields.get("status", "").startswith(("2", "3"))
+        is_routed = bool(last_line.fields.get("kind"))
+        if is_success or not is_routed or last_line.event == "request.cancelled":
+            return True
+        return self._cause_line(self.request_id) is not None
+
+    def _final_lines(self) -> list[LogLine]:
+        return [
             line
             for line in self._lines_of(self.request_id)
             if line.event in ("request.answered", "request.cancelled")
         ]
+
+    def cause(self) -> str:
+        """Describe why the request ended, following failed child calls to the deepest one."""
+        answered = self._final_lines()
         if not answered:
             return "no log line records how the request ended; its lines may have been dropped"
         last_line = answered[-1]
--- a/devtools/bamboo_bench/capacity/command.py
+++ b/devtools/bamboo_bench/capacity/command.py
@@ -6,7 +6,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from bamboo_bench.capacity import control, links, memory, processes
+from bamboo_bench.capacity import configuration, control, links, memory, processes
 from bamboo_bench.capacity.slopes import Slope
 
 PAGE_PATH = Path(__file__).parents[3] / "docs" / "CAPACITY.md"
@@ -15,6 +15,7 @@
     "links": links.measure,
     "processes": processes.measure,
     "control": control.measure,
+    "configuration": configuration.measure,
 }
 TABLE_HEADING = (
     "| part | measured | slope | at the size | limit | command |\n|---|---|---|---|---|---|\n"
@@ -41,7 +42,7 @@
         option(
             "part",
             None,
-            "memory, links, processes or control (default: all)",
+            "memory, links, processes, control or configuration (default: all)",
             flag=False,
             multiple=True,
         ),
--- a/devtools/bamboo_bench/state/configuration.py
+++ b/devtools/bamboo_bench/state/configuration.py
@@ -260,6 +260,17 @@
 
 
 async def measure_watchers_cut(nodes: int, seed: int) -> PropagationFigures:
+    """Measure a fleet whose store watchers in one data centre do not reach the store."""
+
+    async def cut(fleet: ConfigurationFleet) -> None:
+        for node in fleet.running_nodes:
+            is_cut = node.is_store_watcher and node.data_centre == DATA_CENTRES[0]
+            node.client.faults.down = is_cut
+
+    return await _measure(nodes, seed, cut)
+
+
+async def measure_all_watchers_cut(nodes: int, seed: int) -> PropagationFigures:
     """Measure a fleet none of whose store watchers reaches the store."""
 
     async def cut(fleet: ConfigurationFleet) -> None:
