Split the simulated fleet of platform nodes from its measurement and bounded idle watches

An idle watch lasts 5 s at least, whatever history the store states. The test of the store client shows which calls allow stale answers.

--- a/bamboojunction/platform_node/collection_follower.py
+++ b/bamboojunction/platform_node/collection_follower.py
@@ -17,7 +17,9 @@
 )
 from bamboojunction.telemetry.events import EventLog
 
-# The longest wait that the store allows for a watch.
+# Bounds on the wait of a watch: an idle one should not return too often, and the store allows no
+# longer wait.
+WATCH_SECONDS_MIN = 5.0
 WATCH_SECONDS_MAX = 30.0
 # Part of the store's history after which a watch ends. Its response moves the revision on, so that
 # the next watch does not start from a revision that the store has forgotten.
@@ -69,7 +71,9 @@
     ):
         self._collection = collection
         self._batch_seconds = batch_seconds
-        self._watch_seconds = min(WATCH_SECONDS_MAX, WATCH_HISTORY_SHARE * history_seconds)
+        self._watch_seconds = max(
+            WATCH_SECONDS_MIN, min(WATCH_SECONDS_MAX, WATCH_HISTORY_SHARE * history_seconds)
+        )
         self._client = client
         self._backoff = ExponentialBackoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, rng)
         self._events = events
--- a/tests/adapter/test_node_settings.py
+++ b/tests/adapter/test_node_settings.py
@@ -29,6 +29,7 @@
     address: "10.200.1.7:8309"
     writes_per_s: 400
     reads_per_s: 2000
+    history_s: 30
 terms:
   new_field: true
   bounds:
@@ -47,6 +48,7 @@
         self.assertEqual(settings.upstream_address, "10.1.0.8:8301")
         self.assertEqual((settings.retry_ratio, settings.retry_slack), (0.2, 48))
         self.assertEqual(settings.stop_seconds, 6)
+        self.assertEqual(settings.store_history_seconds, 30)
 
     def test_missing_field_is_named(self):
         problem = parse_node_settings(SETTINGS_FILE.replace(b"app_addr", b"app")).unwrap_err()
--- a/tests/bench/test_configuration.py
+++ b/tests/bench/test_configuration.py
@@ -10,7 +10,8 @@
     LAG_SECONDS_MAX,
     MEASURE_BY_CONDITION,
 )
-from bamboo_bench.state.configuration import ConfigurationFleet, measure_all_watchers_cut
+from bamboo_bench.state.configuration import measure_all_watchers_cut
+from bamboo_standins.configuration_fleet import ConfigurationFleet
 from bamboo_standins.paused_clock import run_with_paused_clock, with_paused_clock
 
 
--- a/tests/platform_store/test_http_client.py
+++ b/tests/platform_store/test_http_client.py
@@ -97,6 +97,28 @@
         await self.client.watch("tables", 0, 0)
         self.assertEqual(self.platform.call_counts, {"reads": 1, "writes": 1, "watches": 1})
 
+    async def test_only_calls_that_may_be_stale_say_so(self):
+        queries = []
+
+        async def handle(request: web.Request) -> web.Response:
+            queries.append(dict(request.query))
+            return web.json_response({"items": [], "events": [], "store_revision": 5})
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", handle)
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        client = HttpPlatformClient(["{}:{}".format(*runner.addresses[0][:2])], 5.0)
+        self.addAsyncCleanup(client.close)
+        for may_be_stale in (False, True):
+            await client.list("tables", may_be_stale)
+            await client.watch("tables", 5, 0.0, may_be_stale)
+        watch = {"watch": "5", "wait_ms": "0"}
+        stale = {"stale_ok": "1"}
+        self.assertEqual(queries, [{}, watch, stale, watch | stale])
+
     async def test_bytes_without_end_are_cut_and_tell_nothing_of_a_write(self):
         for name, (start, repeated) in RESPONSES.items():
             with self.subTest(name):
