--- a/devtools/bamboo_bench/path/command.py
+++ b/devtools/bamboo_bench/path/command.py
@@ -15,6 +15,7 @@
 
 from bamboo_bench.path.chains import Chains, MachineCpuTime
 from bamboo_bench.path.load import LoadGenerator
+from bamboo_bench.path.platform_hop import compare_checkouts
 from bamboo_bench.path.report import PathFigures
 
 WARM_UP_SECONDS = 2.0
@@ -84,11 +85,27 @@
         option("tracing", None, "Export a span for each hop", flag=True),
         option("maximum", None, "Measure the maximum rate of calls per second instead", flag=True),
         option("json", None, "Print one line of JSON", flag=True),
+        option(
+            "platform",
+            None,
+            "Compare checkouts by the cost of a hop between nodes of the platform instead",
+            flag=True,
+        ),
+        option(
+            "checkout",
+            None,
+            "Directory of a checkout to compare; may be given several times",
+            flag=False,
+            multiple=True,
+        ),
+        option("rounds", None, "Rounds of the comparison", flag=False, default="3"),
     ]
 
     def handle(self) -> int:
         """Measure and print; return 0 if the target was met, else 1."""
         seconds = float(self.option("seconds"))
+        if self.option("platform"):
+            return self._compare_checkouts(seconds)
         with tempfile.TemporaryDirectory() as directory:
             if self.option("maximum"):
                 rate = uvloop.run(measure_maximum_rate(Path(directory), seconds))
@@ -110,6 +127,17 @@
             self._print_figures(figures)
         return 0 if figures.met else 1
 
+    def _compare_checkouts(self, seconds: float) -> int:
+        checkouts = [Path(directory) for directory in self.option("checkout")] or [Path.cwd()]
+        figures_by_checkout = uvloop.run(
+            compare_checkouts(
+                checkouts, float(self.option("rate")), seconds, int(self.option("rounds"))
+            )
+        )
+        for checkout, figures in figures_by_checkout.items():
+            self.line(f"{checkout.name}: {figures.render()}")
+        return 0
+
     def _print_figures(self, figures: PathFigures) -> None:
         for name, value in asdict(figures).items():
             self.line(
--- a/devtools/bamboo_bench/soak/machines.py
+++ b/devtools/bamboo_bench/soak/machines.py
@@ -198,7 +198,10 @@
 
 
 class Machine:
-    """A node process with its upstream, and a fault proxy each for the upstream and the store."""
+    """A node process with its upstream, and a fault proxy each for the upstream and the store.
+
+    The node runs the code of ``checkout``, or the installed code if that is None.
+    """
 
     def __init__(
         self,
@@ -207,6 +210,7 @@
         data_centre: str,
         directory: Path,
         checker: InvariantChecker,
+        checkout: Path | None = None,
     ):
         self.name = name
         self.upstream = upstream
@@ -217,6 +221,7 @@
         self._loop = asyncio.get_running_loop()
         self._data_centre = data_centre
         self._directory = directory
+        self._checkout = checkout
         self._process: asyncio.subprocess.Process | None = None
         self._watch_task: asyncio.Task | None = None
 
@@ -250,6 +255,11 @@
         await self.start_node()
         self.upstream.start_heartbeats()
 
+    @property
+    def process_id(self) -> int:
+        """Return the id of the node's process."""
+        return self._process.pid
+
     async def start_node(self) -> None:
         """Start the node's process, which appends to the log of this machine."""
         with self.log_path.open("ab") as log:
@@ -259,6 +269,8 @@
                 NODE_MODULE,
                 stdout=log,
                 stderr=log,
+                # The interpreter looks for modules in its working directory first.
+                cwd=self._checkout,
                 env={"BAMBOOJUNCTION_NODE_FILE": str(self.settings_path)},
             )
         self.is_down = False
