--- a/bamboojunction/core/outcomes.py
+++ b/bamboojunction/core/outcomes.py
@@ -1,6 +1,6 @@
 """The three outcomes of a call: ran, not run and unknown."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 
@@ -70,3 +70,11 @@
 
 
 Outcome = Ran | NotRun | Unknown
+
+
+def with_allowance(outcome: Outcome, allowance_left: int) -> Outcome:
+    """Return an outcome with another number of retries left."""
+    # Copying a data class takes longer than all comparisons of a call together.
+    if outcome.allowance_left == allowance_left:
+        return outcome
+    return replace(outcome, allowance_left=allowance_left)
--- a/bamboojunction/core/retries/combined_outcome.py
+++ b/bamboojunction/core/retries/combined_outcome.py
@@ -1,8 +1,6 @@
 """The combined outcome of a call that was attempted more than once."""
 
-from dataclasses import replace
-
-from bamboojunction.core.outcomes import NotRun, Outcome
+from bamboojunction.core.outcomes import NotRun, Outcome, with_allowance
 
 
 def combined_outcome(earlier: Outcome | None, last: Outcome) -> Outcome:
@@ -13,4 +11,4 @@
     """
     if earlier is None or isinstance(earlier, NotRun) or not isinstance(last, NotRun):
         return last
-    return replace(earlier, allowance_left=last.allowance_left)
+    return with_allowance(earlier, last.allowance_left)
--- a/bamboojunction/links/link.py
+++ b/bamboojunction/links/link.py
@@ -1,6 +1,7 @@
 """One outgoing link: a WebSocket connection to a peer and its pending requests."""
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -21,10 +22,14 @@
 
 
 class LinkFailure(Enum):
-    """Why a request got no answer: it was not sent, or the link was lost before the answer."""
+    """Why a request got no answer.
+
+    It was not sent, or its link was lost or its deadline passed before the answer.
+    """
 
     NOT_SENT = auto()
     LOST = auto()
+    DEADLINE = auto()
 
 
 @dataclass(slots=True)
@@ -86,15 +91,24 @@
         """Return whether requests are pending."""
         return bool(self._pending_by_id)
 
-    async def request(self, request_id: int, frame: bytes) -> CallAnswer | SealAnswer | LinkFailure:
-        """Send a request and wait for its answer, or for the loss of the link."""
+    async def request(
+        self, request_id: int, frame: bytes, deadline: float = math.inf
+    ) -> CallAnswer | SealAnswer | LinkFailure:
+        """Send a request and wait for its answer, the loss of the link or the deadline.
+
+        ``deadline`` is in seconds on the event loop's clock. The request does not wait while the
+        write buffer is full, as it waits for the answer in any case.
+        """
         if not self.is_open:
             return LinkFailure.NOT_SENT
         future = self._loop.create_future()
         self._pending_by_id[request_id] = future
         self.last_used_at = self._loop.time()
+        timer = None
+        if deadline < math.inf:
+            timer = self._loop.call_at(deadline, self._expire_request, request_id)
         try:
-            await self._connection.send_frame(frame)
+            self._connection.write_frame(frame)
             return await future
         except SEND_ERRORS:
             return LinkFailure.LOST
@@ -102,6 +116,8 @@
             self._cancel_request(request_id)
             raise
         finally:
+            if timer is not None:
+                timer.cancel()
             self._pending_by_id.pop(request_id, None)
 
     async def send(self, frame: bytes) -> bool:
@@ -121,6 +137,12 @@
         """Close the connection with a WebSocket closing handshake."""
         await self._connection.close()
 
+    def _expire_request(self, request_id: int) -> None:
+        future = self._pending_by_id.pop(request_id, None)
+        if future is not None and not future.done():
+            future.set_result(LinkFailure.DEADLINE)
+            self._cancel_request(request_id)
+
     def _cancel_request(self, request_id: int) -> None:
         """Send a cancellation in the background.
 
@@ -176,7 +198,7 @@
             self._send_in_background(self._send_heartbeat(token))
 
     def _send_in_background(self, send: Coroutine[None, None, object]) -> None:
-        task = asyncio.create_task(send)
+        task = self._loop.create_task(send)
         self._background_sends.add(task)
         task.add_done_callback(self._background_sends.discard)
 
--- a/bamboojunction/links/pool.py
+++ b/bamboojunction/links/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable
 
 from websockets.asyncio.client import connect
@@ -79,14 +80,23 @@
         """Return a request id that is unique across all links of this pool."""
         return next(self._request_ids)
 
-    async def request(self, address: str, message) -> CallAnswer | SealAnswer | LinkFailure:
-        """Send a request to a node and wait for its answer."""
+    async def request(
+        self, address: str, message, deadline: float = math.inf
+    ) -> CallAnswer | SealAnswer | LinkFailure:
+        """Send a request to a node and wait for its answer, at most until the deadline.
+
+        ``deadline`` is in seconds on the event loop's clock.
+        """
         link = self._links_by_address.get(address)
         if link is None or not link.is_open:
-            link = await self._get_or_open(address)
+            try:
+                async with asyncio.timeout_at(None if deadline == math.inf else deadline):
+                    link = await self._get_or_open(address)
+            except TimeoutError:
+                return LinkFailure.NOT_SENT
         if link is None:
             return LinkFailure.NOT_SENT
-        return await link.request(message.request_id, encode(message))
+        return await link.request(message.request_id, encode(message), deadline)
 
     def send(self, address: str, message: AnyMessage) -> None:
         """Send a message that has no answer; drop it when the node cannot be reached."""
--- a/bamboojunction/links/server.py
+++ b/bamboojunction/links/server.py
@@ -43,12 +43,14 @@
         "_call_tasks_by_id",
         "_connection",
         "_handlers",
+        "_loop",
         "_on_call",
         "_on_seal",
         "peer",
     )
 
     def __init__(self, connection, peer: str, on_call, on_seal, handlers: MessageHandlers):
+        self._loop = asyncio.get_running_loop()
         self._connection: LinkServerConnection = connection
         self.peer = peer
         self._on_call: CallHandler = on_call
@@ -99,7 +101,7 @@
             return
 
     def _start_call(self, request: CallRequest) -> None:
-        task = asyncio.create_task(self._serve_call(request))
+        task = self._loop.create_task(self._serve_call(request))
         self._call_tasks_by_id[request.request_id] = task
         task.add_done_callback(lambda _: self._call_tasks_by_id.pop(request.request_id, None))
 
--- a/bamboojunction/node/call_router.py
+++ b/bamboojunction/node/call_router.py
@@ -1,7 +1,7 @@
 """Call routing: sends attempts to gates and retries them within the retry allowance."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Protocol
 
 from bamboojunction.core.admission.edge import EdgeShedder
@@ -14,6 +14,7 @@
     Outcome,
     Unknown,
     UnknownReason,
+    with_allowance,
 )
 from bamboojunction.core.poison.fingerprints import suspect_fingerprint
 from bamboojunction.core.retries.combined_outcome import combined_outcome
@@ -142,12 +143,10 @@
         """Send a call to a node, addressed to its gate or its home, and wait for the reply."""
         now = self._loop.time()
         request = call_to_request(call, target, self._links.next_request_id(), now)
-        try:
-            async with asyncio.timeout_at(call.deadline):
-                answer = await self._links.request(address, request)
-        except TimeoutError:
-            return GateReply(Unknown(UnknownReason.DEADLINE))
+        answer = await self._links.request(address, request, call.deadline)
         match answer:
+            case LinkFailure.DEADLINE:
+                return GateReply(Unknown(UnknownReason.DEADLINE))
             case LinkFailure.NOT_SENT:
                 refusal = NotRun(NotRunReason.UNREACHABLE, allowance_left=call.allowance)
                 return GateReply(refusal)
@@ -162,7 +161,7 @@
         now = self._loop.time()
         refusal = self._edge_refusal(call, row, now)
         if refusal is not None:
-            return replace(refusal, allowance_left=call.allowance), None
+            return with_allowance(refusal, call.allowance), None
         request = RouteRequest(
             call.service,
             call.kind,
@@ -187,7 +186,7 @@
                 outcome = await self._send_tracked(instance, call)
                 return outcome, instance
             case NotRun() as refusal:
-                return replace(refusal, allowance_left=call.allowance), None
+                return with_allowance(refusal, call.allowance), None
 
     def _edge_refusal(self, call: Call, row: Row, now: float) -> NotRun | None:
         """Return the refusal of a new call that a service in its row would shed, or None.
--- a/bamboojunction/node/gate.py
+++ b/bamboojunction/node/gate.py
@@ -23,6 +23,7 @@
     Ran,
     Unknown,
     UnknownReason,
+    with_allowance,
 )
 from bamboojunction.core.poison.decisions import DelaySuspect, Finding, RefuseSuspect, RunIsolated
 from bamboojunction.core.poison.fingerprints import fingerprint_of
@@ -257,8 +258,8 @@
         self._apply_decisions(self._admission.tick(self._loop.time()))
 
     def _refusal_reply(self, call: Call, outcome: NotRun) -> GateReply:
-        return GateReply(replace(outcome, allowance_left=call.allowance), self._report_for(call))
+        return GateReply(with_allowance(outcome, call.allowance), self._report_for(call))
 
     def _reply(self, call: Call, reply: UpstreamResult, allowance_left: int) -> GateReply:
-        outcome: Outcome = replace(reply.outcome, allowance_left=allowance_left)
+        outcome = with_allowance(reply.outcome, allowance_left)
         return GateReply(outcome, self._report_for(call), reply.service_seconds)
--- a/bamboojunction/node/running_calls.py
+++ b/bamboojunction/node/running_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bamboojunction.core.calls import Call
@@ -10,6 +11,10 @@
 TOKEN_BYTES = 9
 
 
+def _random_token() -> str:
+    return secrets.token_urlsafe(TOKEN_BYTES)
+
+
 @dataclass(slots=True)
 class RunningCall:
     """A call that runs at the upstream, and the context that its child calls inherit.
@@ -30,18 +35,23 @@
 
 
 class RunningCalls:
-    """The running calls, by the token that the upstream sends back with child calls."""
+    """The running calls, by the token that the upstream sends back with child calls.
+
+    ``create_token`` returns a token that no other running call has.
+    """
 
-    __slots__ = ("by_token",)
+    __slots__ = ("_create_token", "by_token")
 
-    def __init__(self):
+    def __init__(
+        self,
+        create_token: Callable[[], str] = _random_token,
+    ):
+        self._create_token = create_token
         self.by_token: dict[str, RunningCall] = {}
 
     def start(self, call: Call) -> RunningCall:
         """Register a call that is about to be sent to the upstream."""
-        running = RunningCall(
-            secrets.token_urlsafe(TOKEN_BYTES), call, AllowancePool(call.allowance)
-        )
+        running = RunningCall(self._create_token(), call, AllowancePool(call.allowance))
         self.by_token[running.token] = running
         return running
 
--- a/bamboojunction/platform/requests.py
+++ b/bamboojunction/platform/requests.py
@@ -31,6 +31,7 @@
         "upgrade",
     }
 )
+_REQUEST_DROPPED_HEADERS = _HOP_BY_HOP_HEADERS | _NODE_HEADERS
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -50,19 +51,14 @@
 
 def read_caller_headers(raw: Iterable[tuple[bytes, bytes]]) -> CallerHeaders:
     """Decode the headers of a caller's request; the returned names are in lower case."""
-    pairs = [(name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in raw]
+    pairs = [(str(name, "latin-1").lower(), str(value, "latin-1")) for name, value in raw]
     value_by_name = dict(pairs)
-    dropped = (
-        _HOP_BY_HOP_HEADERS
-        | _NODE_HEADERS
-        | _connection_options(value_by_name.get("connection", ""))
-    )
-    host = value_by_name.get("host", "")
+    dropped = _dropped_names(value_by_name, _REQUEST_DROPPED_HEADERS)
     return CallerHeaders(
-        host=_without_port(host),
+        host=_without_port(value_by_name.get("host", "")),
         request_id=value_by_name.get(_REQUEST_ID, ""),
         remaining_seconds=_seconds_from_milliseconds(value_by_name.get(_DEADLINE_MS)),
-        forwarded=tuple(pair for pair in pairs if pair[0] not in dropped),
+        forwarded=tuple([pair for pair in pairs if pair[0] not in dropped]),
     )
 
 
@@ -112,9 +108,8 @@
 
 def end_to_end_headers(headers: Headers) -> Headers:
     """Return an upstream's response headers without the hop-by-hop ones."""
-    value_by_name = dict(headers)
-    dropped = _HOP_BY_HOP_HEADERS | _connection_options(value_by_name.get("connection", ""))
-    return tuple(pair for pair in headers if pair[0] not in dropped)
+    dropped = _dropped_names(dict(headers), _HOP_BY_HOP_HEADERS)
+    return tuple([pair for pair in headers if pair[0] not in dropped])
 
 
 def outcome_response(outcome: Outcome, request_id: str) -> HttpResponse:
@@ -154,10 +149,12 @@
     return host.rpartition(":")[0] if ":" in host else host
 
 
-def _connection_options(value: str) -> frozenset[str]:
-    if not value:
-        return frozenset()
-    return frozenset(option.strip().lower() for option in value.split(","))
+def _dropped_names(value_by_name: dict[str, str], always: frozenset[str]) -> frozenset[str]:
+    """Return the names to drop: some always, and those that the Connection header lists."""
+    options = value_by_name.get("connection")
+    if not options:
+        return always
+    return always.union(option.strip().lower() for option in options.split(","))
 
 
 def _seconds_from_milliseconds(text: str | None) -> float | None:
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -1,6 +1,6 @@
 """The platform node's gate: admission of calls to the local upstream and their dispatch to it."""
 
-import asyncio
+import itertools
 import time
 from dataclasses import replace
 
@@ -53,17 +53,13 @@
         started = time.monotonic()
         is_idempotent = self._current_routes.row(call.kind).effect is Effect.IDEMPOTENT
         request = render_request(call, headers)
-        try:
-            async with asyncio.timeout_at(call.deadline):
-                response = await self._pool.exchange(
-                    request,
-                    is_idempotent,
-                    lambda headers: requests.response_owner(headers, call.action),
-                )
-        except TimeoutError:
-            outcome, completion_status = Unknown(UnknownReason.DEADLINE), CompletionStatus.FAILED
-        else:
-            outcome, completion_status = self._interpret_response(call, response)
+        response = await self._pool.exchange(
+            request,
+            is_idempotent,
+            lambda headers: requests.response_owner(headers, call.action),
+            call.deadline,
+        )
+        outcome, completion_status = self._interpret_response(call, response)
         return UpstreamResult(outcome, completion_status, time.monotonic() - started)
 
     def _interpret_response(
@@ -73,6 +69,8 @@
             case ExchangeFailure.NOT_SENT:
                 refusal = NotRun(NotRunReason.UNREACHABLE, UNREACHABLE_RETRY_AFTER_SECONDS)
                 return refusal, CompletionStatus.FAILED
+            case ExchangeFailure.DEADLINE:
+                return Unknown(UnknownReason.DEADLINE), CompletionStatus.FAILED
             case ExchangeFailure.CLOSED:
                 return Unknown(UnknownReason.LOST_UPSTREAM), CompletionStatus.FAILED
             case ExchangeFailure.OVERSIZED:
@@ -128,7 +126,8 @@
             client,
             current_routes,
             PoisonGuard(),
-            RunningCalls(),
+            # The upstream is not told the token of a call here, so it need not be random.
+            RunningCalls(create_token=map(str, itertools.count()).__next__),
         )
         self._local_upstream = local_upstream
         self._service = service
@@ -186,7 +185,10 @@
 
     def _report_for(self, call: Call) -> LoadReport:
         below = self.edge.levels_to_relay(self.dependencies.services(call.kind), self._loop.time())
-        return replace(self.report(), below=below, draining=False)
+        report = self.report()
+        if not below and not report.draining:
+            return report
+        return replace(report, below=below, draining=False)
 
     async def _run(self, ticket: Ticket, call: Call, fingerprint: int) -> GateReply:
         self._running_by_request_id[call.action] = call
--- a/bamboojunction/telemetry/logs.py
+++ b/bamboojunction/telemetry/logs.py
@@ -1,5 +1,6 @@
 """Structured logging: one line of key=value fields for each event."""
 
+import functools
 import json
 import re
 import sys
@@ -14,6 +15,7 @@
     {"authorization", "cookie", "password", "proof", "secret", "set-cookie", "token"}
 )
 REDACTED = "***"
+FIELD_NAMES_CACHED = 256
 
 
 def configure_logs(settings: TelemetrySettings, sink: TextIO = sys.stderr) -> None:
@@ -51,18 +53,26 @@
 
 def format_fields(fields: dict[str, object]) -> str:
     """Return fields as key=value text, quoting where needed and redacting secret values."""
-    return " ".join(f"{name}={_format_value(name, value)}" for name, value in fields.items())
+    return " ".join([f"{name}={_format_value(name, value)}" for name, value in fields.items()])
+
+
+@functools.lru_cache(maxsize=FIELD_NAMES_CACHED)
+def _is_secret(name: str) -> bool:
+    return name.lower() in SECRET_FIELD_NAMES
 
 
 def _format_value(name: str, value: object) -> str:
-    if name.lower() in SECRET_FIELD_NAMES:
+    if _is_secret(name):
         return REDACTED
     match value:
+        case str():
+            text = value
         case float():
             return f"{value:.6g}"
         case int():
             return str(value)
-    text = str(value)
+        case _:
+            text = str(value)
     return text if UNQUOTED_VALUE_PATTERN.fullmatch(text) else json.dumps(text)
 
 
--- a/bamboojunction/upstreams/connection.py
+++ b/bamboojunction/upstreams/connection.py
@@ -1,6 +1,7 @@
 """A single HTTP/1.1 connection to an upstream, without pipelining."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -24,6 +25,8 @@
     NOT_SENT = auto()
     # The connection closed before the first byte of the response.
     CLOSED = auto()
+    # The deadline of the request passed.
+    DEADLINE = auto()
     TRUNCATED = auto()
     MALFORMED = auto()
     # The response exceeds a bound, so it may have no end.
@@ -63,6 +66,7 @@
     """
 
     def __init__(self, body_max_bytes: int, memory: MemoryBudget):
+        self._loop = asyncio.get_running_loop()
         self._body_max_bytes = body_max_bytes
         self._reservation: BodyReservation = memory.hold()
         self.is_reusable = False
@@ -79,18 +83,25 @@
         self.is_reusable = True
 
     async def exchange(
-        self, request: bytes, match_response: ResponseMatcher = match_any
+        self,
+        request: bytes,
+        match_response: ResponseMatcher = match_any,
+        deadline: float = math.inf,
     ) -> RawResponse | ExchangeFailure:
-        """Send a request and wait for its response; cancellation closes the connection.
+        """Send a request and wait for its response, at most until the deadline.
 
         ``match_response`` tells from the headers of a response whether it answers the request.
+        ``deadline`` is in seconds on the event loop's clock. Cancellation closes the connection.
         """
         if not self.is_reusable:
             return ExchangeFailure.NOT_SENT
         self._reset()
         self._match_response = match_response
         self.is_reusable = False
-        self._waiter = asyncio.get_running_loop().create_future()
+        self._waiter = self._loop.create_future()
+        timer = None
+        if deadline < math.inf:
+            timer = self._loop.call_at(deadline, self._resolve, ExchangeFailure.DEADLINE)
         self._transport.write(request)
         try:
             result = await self._waiter
@@ -98,6 +109,8 @@
             self.abort()
             raise
         finally:
+            if timer is not None:
+                timer.cancel()
             self._waiter = None
             self._reservation.release()
         if isinstance(result, ExchangeFailure):
--- a/bamboojunction/upstreams/pool.py
+++ b/bamboojunction/upstreams/pool.py
@@ -1,6 +1,7 @@
 """A pool of HTTP connections to the local upstream."""
 
 import asyncio
+import math
 import socket
 from collections import deque
 
@@ -52,24 +53,27 @@
         request: bytes,
         is_idempotent: bool,
         match_response: ResponseMatcher = match_any,
+        deadline: float = math.inf,
     ) -> RawResponse | ExchangeFailure:
         """Send a request and return its response, the first that ``match_response`` accepts.
 
-        An idempotent request is sent again on a new connection if a reused one turns out to be
-        closed; any other request reuses a connection only shortly after its last response.
+        ``deadline`` is in seconds on the event loop's clock; it is the latest time at which the
+        exchange ends. An idempotent request is sent again on a new connection if a reused one
+        turns out to be closed; any other request reuses a connection only shortly after its last
+        response.
         """
         connection = self._take_idle(is_idempotent)
         if connection is not None:
-            result = await self._exchange_on(connection, request, match_response)
+            result = await self._exchange_on(connection, request, match_response, deadline)
             if result is ExchangeFailure.NOT_SENT:
                 # Nothing was sent: use a new connection.
                 pass
             elif result is not ExchangeFailure.CLOSED or not is_idempotent:
                 return result
-        connection = await self._connect()
+        connection = await self._connect(deadline)
         if connection is None:
             return ExchangeFailure.NOT_SENT
-        return await self._exchange_on(connection, request, match_response)
+        return await self._exchange_on(connection, request, match_response, deadline)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -77,9 +81,13 @@
             self._idle.pop().abort()
 
     async def _exchange_on(
-        self, connection: UpstreamConnection, request: bytes, match_response: ResponseMatcher
+        self,
+        connection: UpstreamConnection,
+        request: bytes,
+        match_response: ResponseMatcher,
+        deadline: float,
     ) -> RawResponse | ExchangeFailure:
-        result = await connection.exchange(request, match_response)
+        result = await connection.exchange(request, match_response, deadline)
         if connection.is_reusable:
             connection.idle_since = self._loop.time()
             self._idle.append(connection)
@@ -110,9 +118,10 @@
             timeout, IDLE_SECONDS_MAX
         )
 
-    async def _connect(self) -> UpstreamConnection | None:
+    async def _connect(self, deadline: float) -> UpstreamConnection | None:
+        timeout_at = min(deadline, self._loop.time() + CONNECT_TIMEOUT_SECONDS)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            async with asyncio.timeout_at(timeout_at):
                 transport, connection = await self._loop.create_connection(
                     lambda: UpstreamConnection(self._body_max_bytes, self._memory),
                     self._host,
--- a/tests/links/test_silence.py
+++ b/tests/links/test_silence.py
@@ -30,6 +30,9 @@
         self.on_frame = on_frame
 
     async def send_frame(self, frame):
+        self.write_frame(frame)
+
+    def write_frame(self, frame):
         self.sent.append(frame)
 
     def abort(self):
