Repeated a call only where it failed, not for a failure below it

Cause: a call that failed because one of its child calls was refused or failed was repeated at each service of its chain, and what such a repeat called counted as a repeat as well.

Change: the gate that ran such a call tells the caller, which answers instead of repeating it.

--- a/bamboojunction/core/outcomes.py
+++ b/bamboojunction/core/outcomes.py
@@ -44,12 +44,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Ran:
-    """The call ran; this is the whole answer of the upstream."""
+    """The call ran; this is the whole answer of the upstream.
+
+    ``failed_below`` is set if the call failed after one of its own child calls was not served.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     allowance_left: int = 0
+    failed_below: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/bamboojunction/core/retries/forwarding.py
+++ b/bamboojunction/core/retries/forwarding.py
@@ -1,4 +1,9 @@
-"""The decision whether a request is answered, sent to another gate or repeated."""
+"""The decision whether a request is answered, sent to another gate or repeated.
+
+Load pattern: a service at the end of call chains refuses or fails a part of its calls. Each call is
+repeated where it failed only. If the calls above it were repeated too, one failure would cost a
+repeat at each service of the chain, and the calls that a repeat makes count as repeats as well.
+"""
 
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -60,6 +65,8 @@
     match outcome:
         case Ran(status=status) if status < SERVER_ERROR_STATUS:
             return Step.ANSWER
+        case Ran(failed_below=True):
+            return Step.ANSWER
         case NotRun(reason=reason) if reason in REFUSED_BEFORE_UPSTREAM:
             return Step.MOVE_ON if attempts.moves < MOVES_MAX else Step.ANSWER
         case NotRun(reason=NotRunReason.UPSTREAM_REFUSED):
--- a/bamboojunction/links/convert.py
+++ b/bamboojunction/links/convert.py
@@ -86,8 +86,9 @@
     load = _load_to_wire(reply.report)
     service_seconds = reply.service_seconds
     gate_ms = round(reply.gate_seconds * 1000)
+    failed_below = False
     match reply.outcome:
-        case Ran(status, headers, body, allowance_left):
+        case Ran(status, headers, body, allowance_left, failed_below):
             verdict, reason, retry_after = Verdict.RAN, "", 0.0
         case NotRun(reason, retry_after, allowance_left):
             verdict, status, headers, body = Verdict.NOT_RUN, 0, (), b""
@@ -107,6 +108,7 @@
         service_seconds,
         load,
         gate_ms,
+        failed_below,
     )
 
 
@@ -148,7 +150,13 @@
     allowance_left = answer.allowance_left
     match answer.verdict:
         case Verdict.RAN:
-            return Ran(answer.status, answer.headers, answer.body, allowance_left)
+            return Ran(
+                answer.status,
+                answer.headers,
+                answer.body,
+                allowance_left,
+                answer.failed_below,
+            )
         case Verdict.NOT_RUN if answer.reason in _NOT_RUN_BY_VALUE:
             return NotRun(_NOT_RUN_BY_VALUE[answer.reason], answer.retry_after, allowance_left)
         case Verdict.UNKNOWN if answer.reason in _UNKNOWN_BY_VALUE:
--- a/bamboojunction/links/messages.py
+++ b/bamboojunction/links/messages.py
@@ -90,6 +90,7 @@
     """The answer to a call request; ``reason`` is empty when the call ran.
 
     ``gate_ms`` is the time spent at the gate; whole milliseconds keep its encoding short.
+    ``failed_below`` is set if the call failed after one of its child calls was not served.
     """
 
     request_id: int
@@ -103,6 +104,7 @@
     service_seconds: float
     load: Load | None
     gate_ms: int = 0
+    failed_below: bool = False
 
 
 class Cancel(Message, tag=3):
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -17,6 +17,7 @@
     UnknownReason,
 )
 from bamboojunction.core.poison.guard import PoisonGuard
+from bamboojunction.core.retries.forwarding import SERVER_ERROR_STATUS
 from bamboojunction.core.routes import CurrentRoutes
 from bamboojunction.core.table.rows import Effect, Row, default_weight
 from bamboojunction.links.replies import GateReply
@@ -193,9 +194,13 @@
     async def _run(self, ticket: Ticket, call: Call, fingerprint: int) -> GateReply:
         self._running_by_request_id[call.action] = call
         try:
-            return await super()._run(ticket, call, fingerprint)
+            reply = await super()._run(ticket, call, fingerprint)
         finally:
             self._running_by_request_id.pop(call.action, None)
+        match reply.outcome:
+            case Ran(status=status) if status >= SERVER_ERROR_STATUS and call.has_failed_child:
+                return replace(reply, outcome=replace(reply.outcome, failed_below=True))
+        return reply
 
     def _report_end_to_guard(self, ticket_id: int, outcome: Outcome | None) -> None:
         """Record that the call neither completed nor crashed the upstream.
--- a/tests/links/test_codec.py
+++ b/tests/links/test_codec.py
@@ -3,8 +3,13 @@
 import unittest
 from typing import get_args
 
+import cbor2
+
+from bamboojunction.core.outcomes import Ran
 from bamboojunction.links.codec import decode, encode
+from bamboojunction.links.convert import answer_to_reply, reply_to_answer
 from bamboojunction.links.messages import AnyMessage, CallAnswer, Heartbeat, Load
+from bamboojunction.links.replies import GateReply
 
 
 class CodecTests(unittest.TestCase):
@@ -13,6 +18,13 @@
         answer = CallAnswer(7, 0, 200, (("a", "b"),), b"body", "", 0.0, 1, 0.01, load)
         self.assertEqual(decode(encode(answer)).ok(), answer)
 
+    def test_failure_below_survives_round_trip_and_older_nodes_leave_it_out(self):
+        reply = GateReply(Ran(500, (), b"", 0, failed_below=True))
+        self.assertEqual(answer_to_reply(decode(encode(reply_to_answer(1, reply))).ok()), reply)
+        older = [2, 7, 0, 500, [], b"", "", 0.0, 0, 0.0, None, 0]
+        answer = decode(cbor2.dumps(older)).ok()
+        self.assertEqual(answer_to_reply(answer).outcome, Ran(500))
+
     def test_malformed_frames_are_errors(self):
         for frame in (b"", b"\x80", b"\xff", b"\x81\x18\x63", b"\xa1\x01"):
             with self.subTest(frame=frame):
--- a/tests/retries/test_forwarding.py
+++ b/tests/retries/test_forwarding.py
@@ -28,6 +28,10 @@
         self.assertIs(self.step(Ran(200)), Step.ANSWER)
         self.assertIs(self.step(Ran(404)), Step.ANSWER)
 
+    def test_run_that_failed_for_a_child_call_is_not_repeated(self):
+        self.assertIs(self.step(Ran(500)), Step.REPEAT)
+        self.assertIs(self.step(Ran(500, failed_below=True)), Step.ANSWER)
+
     def test_at_most_once_kinds_are_not_repeated_after_they_may_have_run(self):
         outcomes = (
             Ran(500),
