Shed chains at their first gate as soon as a short queue forms below

Levels that reached the entry nodes had grown back to 1 on the way, as each node gets few answers a second. The fraction fell by a tenth a second only.

Change: the target of a queue of child calls is 0.015 s, and the correction of a queue takes 0.25 s; a level is held until the next answers are due; the first gate of a chain, whose upstream makes the calls below all the time, refuses it too. A level that was relayed empty no longer raises KeyError.

--- a/bamboojunction/core/admission/edge.py
+++ b/bamboojunction/core/admission/edge.py
@@ -1,4 +1,9 @@
-"""Load shedding at the edge, by the admission levels that answers have reported."""
+"""Load shedding at the edge, by the admission levels that answers have reported.
+
+Load pattern: a service at the end of call chains can take only a part of them, in a fleet in which
+each node gets few answers a second. What a node knows is then always some time old, and it has to
+act on it until the next answer is due, or all chains are let in and fail below their entry.
+"""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -13,9 +18,12 @@
 )
 from bamboojunction.core.outcomes import NotRun, NotRunReason
 
-# An admitted fraction that no answer confirms grows by this factor per second.
+# An admitted fraction that no answer confirms grows by this factor per second, once the next answer
+# from each of the known instances is overdue.
 FRACTION_GROWTH_PER_SECOND = 2.0
 LEVEL_TTL_SECONDS = 4.0
+HOLD_SECONDS_MAX = 1.5
+INTERVAL_SMOOTHING_FACTOR = 0.2
 # The fraction admitted while all known gates of a service admit nothing; these actions find out
 # when that ends.
 PROBE_FRACTION = 0.02
@@ -46,13 +54,47 @@
     level: AdmissionLevel
     learned_at: float
 
+    held_until: float
+
     def fraction(self, rank: int, now: float) -> float:
-        """Return the admitted fraction of a rank, which grows with the age of the level."""
+        """Return the admitted fraction of a rank, which grows once the level is overdue."""
         fraction = self.level.fraction(rank)
         if fraction >= 1.0:
             return 1.0
         fraction = fraction or PROBE_FRACTION
-        return min(1.0, fraction * FRACTION_GROWTH_PER_SECOND ** (now - self.learned_at))
+        overdue_seconds = max(0.0, now - self.held_until)
+        return min(1.0, fraction * FRACTION_GROWTH_PER_SECOND**overdue_seconds)
+
+
+class _SourceLevels:
+    """The latest levels of a service from one source, and how often reports arrive."""
+
+    __slots__ = ("_mean_interval", "_reported_at", "by_instance")
+
+    def __init__(self):
+        # The instance that reported last is at the end.
+        self.by_instance: dict[str, _KnownLevel] = {}
+        self._mean_interval: float | None = None
+        self._reported_at: float | None = None
+
+    def store(self, instance: str, level: AdmissionLevel, now: float) -> None:
+        """Store the level in a report of an instance."""
+        self._record_interval(now)
+        self.by_instance.pop(instance, None)
+        if len(self.by_instance) >= INSTANCES_PER_SOURCE_MAX:
+            del self.by_instance[next(iter(self.by_instance))]
+        # Each instance's turn comes once in as many reports as there are instances.
+        hold_seconds = (self._mean_interval or 0.0) * (len(self.by_instance) + 1)
+        held_until = now + min(HOLD_SECONDS_MAX, hold_seconds)
+        self.by_instance[instance] = _KnownLevel(level, now, held_until)
+
+    def _record_interval(self, now: float) -> None:
+        if self._reported_at is not None:
+            interval = now - self._reported_at
+            if self._mean_interval is None:
+                self._mean_interval = interval
+            self._mean_interval += INTERVAL_SMOOTHING_FACTOR * (interval - self._mean_interval)
+        self._reported_at = now
 
 
 def _mean_fraction(levels: list[_KnownLevel], rank: int, now: float) -> float:
@@ -73,8 +115,7 @@
     __slots__ = ("_by_service", "_relayed_services")
 
     def __init__(self):
-        # Keyed by service, source and instance; the instance that reported last is at the end.
-        self._by_service: dict[str, dict[_Source, dict[str, _KnownLevel]]] = {}
+        self._by_service: dict[str, dict[_Source, _SourceLevels]] = {}
         self._relayed_services: dict[tuple[str, bool], frozenset[str]] = {}
 
     def record_report(
@@ -89,7 +130,9 @@
         listed = frozenset(entry.service for entry in report.below)
         relayed = _Source(False, is_child_call)
         for unlisted in self._relayed_services.get((instance, is_child_call), frozenset()) - listed:
-            self._by_service[unlisted].get(relayed, {}).pop(instance, None)
+            known = self._by_service.get(unlisted, {}).get(relayed)
+            if known is not None:
+                known.by_instance.pop(instance, None)
         self._relayed_services[(instance, is_child_call)] = listed
         for entry in report.below:
             self._store_level(entry.service, relayed, instance, entry.level, now)
@@ -149,7 +192,8 @@
         return [
             entry
             for is_child_call in ((True,) if only_child_calls else (True, False))
-            for entry in by_source.get(_Source(is_direct, is_child_call), {}).values()
+            if (known := by_source.get(_Source(is_direct, is_child_call))) is not None
+            for entry in known.by_instance.values()
             if entry.learned_at > learned_after
         ]
 
@@ -162,8 +206,6 @@
             if not level.shares:
                 return
             by_source = self._by_service[service] = {}
-        by_instance = by_source.setdefault(source, {})
-        by_instance.pop(instance, None)
-        if len(by_instance) >= INSTANCES_PER_SOURCE_MAX:
-            del by_instance[next(iter(by_instance))]
-        by_instance[instance] = _KnownLevel(level, now)
+        if source not in by_source:
+            by_source[source] = _SourceLevels()
+        by_source[source].store(instance, level, now)
--- a/bamboojunction/core/admission/gate.py
+++ b/bamboojunction/core/admission/gate.py
@@ -85,7 +85,7 @@
         exceeds_max_delay = self._shedder.exceeds_max_delay(ticket.rank, waiting)
         if exceeds_max_delay or waiting >= self._queue_max_per_rank:
             return [self._refuse(ticket, NotRunReason.FULL, hash_value)]
-        self._shedder.record_admitted(ticket.rank)
+        self._shedder.record_admitted(ticket.rank, is_child_call=ticket.depth > 0)
         self._queue.push(ticket)
         return self._start_queued(now)
 
--- a/bamboojunction/core/admission/shedding.py
+++ b/bamboojunction/core/admission/shedding.py
@@ -1,4 +1,9 @@
-"""Load shedding: control of the fraction of each rank's actions that the gate admits."""
+"""Load shedding: control of the fraction of each rank's actions that the gate admits.
+
+Load pattern: for some seconds, clients send more requests than the last service of their chains can
+take. Each call that waits there holds a slot at every service above it, so that a short queue at
+the last service soon fills the slots of the others, and work that does not need it waits as well.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -6,11 +11,15 @@
 from bamboojunction.core.load_reports import AdmissionLevel, RankFraction
 
 UPDATE_INTERVAL_SECONDS = 0.1
+# Event loops round timers, so one for the end of an interval may fire this much too early.
+TIMER_ROUNDING_SECONDS = 0.001
 TARGET_QUEUE_DELAY_SECONDS = 0.1
+# The same for child calls: a chain waits once for each of its calls.
+CHILD_TARGET_QUEUE_DELAY_SECONDS = 0.015
 TARGET_QUEUE_CALLS_MIN = 3.0
 QUEUE_DELAY_MAX_SECONDS = 0.5
 # The admitted rate is set so that the queue would reach its target in this time.
-QUEUE_CORRECTION_SECONDS = 1.0
+QUEUE_CORRECTION_SECONDS = 0.25
 # While a backlog is reduced, calls are still admitted at this share of the rate of starts.
 BACKLOG_ADMISSION_SHARE = 0.5
 # Bounds on how long a queue has to stay above its target before its rank is shed.
@@ -36,11 +45,14 @@
     burst is queued and only a lasting overload is shed. The demand is the rate of admitted calls
     divided by the admitted fraction, both smoothed in the same way. The fraction is set so that
     the admitted rate matches the rate of starts, corrected by the distance of the queue from its
-    target. ``queue_length_min`` is the shortest length of the queue in the current interval.
+    target. ``queue_length_min`` is the shortest length of the queue in the current interval, and
+    ``child_share`` the smoothed share of child calls among the admitted ones.
     """
 
     fraction: float = 1.0
     admitted: int = 0
+    admitted_child_calls: int = 0
+    child_share: float = 0.0
     started: int = 0
     queue_length_min: int = 0
     admitted_rate: float = 0.0
@@ -64,7 +76,14 @@
             self.started / elapsed_seconds - self.started_rate
         )
         self.fraction_average += RATE_SMOOTHING_FACTOR * (self.fraction - self.fraction_average)
-        target = max(TARGET_QUEUE_CALLS_MIN, self.started_rate * TARGET_QUEUE_DELAY_SECONDS)
+        if self.admitted:
+            child_share = self.admitted_child_calls / self.admitted
+            self.child_share += RATE_SMOOTHING_FACTOR * (child_share - self.child_share)
+        target_delay = (
+            self.child_share * CHILD_TARGET_QUEUE_DELAY_SECONDS
+            + (1.0 - self.child_share) * TARGET_QUEUE_DELAY_SECONDS
+        )
+        target = max(TARGET_QUEUE_CALLS_MIN, self.started_rate * target_delay)
         is_above = self.queue_length_min > target
         self.above_target_seconds = self.above_target_seconds + elapsed_seconds if is_above else 0.0
         overload_seconds = max(
@@ -72,7 +91,7 @@
         )
         if self.fraction < 1.0 or self.above_target_seconds >= overload_seconds:
             self._adjust_fraction(waiting, target, has_free_slot and not waiting)
-        self.admitted = 0
+        self.admitted = self.admitted_child_calls = 0
         self.started = 0
         self.queue_length_min = waiting
 
@@ -129,9 +148,11 @@
         fraction = self._level.fraction(rank)
         return hash_value < fraction * (CHILD_CALL_FACTOR if depth else 1.0)
 
-    def record_admitted(self, rank: int) -> None:
+    def record_admitted(self, rank: int, is_child_call: bool) -> None:
         """Count a call that was admitted to the queue."""
-        self._rank_shedder(rank).admitted += 1
+        shedder = self._rank_shedder(rank)
+        shedder.admitted += 1
+        shedder.admitted_child_calls += is_child_call
 
     def record_started(self, rank: int, waiting: int) -> None:
         """Count a call that took a slot; ``waiting`` calls of its rank are still queued."""
@@ -150,7 +171,7 @@
 
         ``waiting_count`` returns the number of waiting calls of a rank.
         """
-        if now < self.next_update():
+        if now < self.next_update() - TIMER_ROUNDING_SECONDS:
             return
         elapsed_seconds = now - self._updated_at
         self._updated_at = now
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -4,7 +4,7 @@
 import time
 from dataclasses import replace
 
-from bamboojunction.core.admission.dependencies import ServiceDependencies
+from bamboojunction.core.admission.dependencies import ServiceDependencies, child_call_rank
 from bamboojunction.core.admission.gate import AdmissionController, CompletionStatus, Ticket
 from bamboojunction.core.calls import Call
 from bamboojunction.core.load_reports import LoadReport
@@ -173,8 +173,27 @@
             return self._refusal_reply(call, NotRun(NotRunReason.UNREACHABLE))
         if self._is_stopping or not self._local_upstream.is_serving:
             return self._refusal_reply(call, NotRun(NotRunReason.DRAINING))
+        refusal = self._chain_refusal(call)
+        if refusal is not None:
+            return self._refusal_reply(call, refusal)
         return await self._serve_admitted(call, hash(call.action), False)
 
+    def _chain_refusal(self, call: Call) -> NotRun | None:
+        """Refuse a call at the top of its chain if a service below would shed the chain.
+
+        The upstream of this gate makes such calls all the time, so its node knows earlier than the
+        node where the call entered.
+        """
+        if call.depth:
+            return None
+        row = self._current_table.row(call.kind)
+        services = (
+            service for service in self.dependencies.services(call.kind) if service != self._service
+        )
+        return self.edge.check(
+            services, child_call_rank(row.rank), call.root_action, self._loop.time()
+        )
+
     def _create_ticket(self, call: Call, row: Row) -> Ticket:
         """Return a ticket ranked by the root call, so that a call chain is shed as a whole."""
         ticket = super()._create_ticket(call, row)
--- a/tests/admission/test_edge.py
+++ b/tests/admission/test_edge.py
@@ -77,6 +77,25 @@
         self.assertAlmostEqual(edge.fraction("payments", 4, 1.0), 0.5)
         self.assertEqual(self.refused(edge, 2.0), [])
 
+    def test_level_holds_until_the_next_answers_are_due(self):
+        edge = EdgeShedder()
+        quarter = AdmissionLevel((RankFraction(4, 0.25),))
+        # An answer each 0.4 s, in turn from two instances.
+        for number in range(10):
+            report = LoadReport(level=quarter)
+            edge.record_report("payments", f"payments-{number % 2}", report, 0.4 * number)
+        last = 0.4 * 9
+        self.assertAlmostEqual(edge.fraction("payments", 4, last + 0.4), 0.25)
+        self.assertGreater(edge.fraction("payments", 4, last + 2.4), 0.4)
+
+    def test_level_of_a_service_that_never_shed_may_be_relayed_and_left_out(self):
+        edge = EdgeShedder()
+        edge.record_report("other", "other-1", LoadReport(level=SHED_ALMOST_ALL), 0.0)
+        empty = ServiceAdmissionLevel("payments", AdmissionLevel())
+        edge.record_report("bayfinder", "bayfinder-1", LoadReport(below=(empty,)), 0.0)
+        edge.record_report("bayfinder", "bayfinder-1", LoadReport(), 0.1)
+        self.assertEqual(self.refused(edge, 0.1), [])
+
     def test_same_actions_are_admitted_by_every_node(self):
         level = AdmissionLevel((RankFraction(4, 0.5),))
         edges = [EdgeShedder() for _ in range(2)]
--- a/tests/links/test_stalls.py
+++ b/tests/links/test_stalls.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import unittest
 
 from bamboo_standins.fault_proxy import FaultProxy, ProxyFaults
@@ -46,11 +47,21 @@
     async def serve(self, call: CallRequest) -> GateReply:
         return GateReply(Ran(200, (), b"whole"))
 
-    async def send_request(self, body: bytes = b""):
+    async def send_request(self, body: bytes = b"", seconds: float = math.inf):
         fields = ("", "", "", 5.0, 0, 0, "", 0, "GET", "/", (), body, "")
         request = CallRequest(self.pool.next_request_id(), 0, *fields)
+        deadline = asyncio.get_running_loop().time() + seconds
         async with asyncio.timeout(WAIT_SECONDS):
-            return await self.pool.request(self.address, request)
+            return await self.pool.request(self.address, request, deadline)
+
+    async def test_request_on_a_stalled_link_ends_at_its_deadline(self):
+        await self.send_request()
+        self.proxy.set_faults(ProxyFaults(stall=True))
+        self.assertIs(await self.send_request(seconds=0.05), LinkFailure.DEADLINE)
+
+    async def test_request_whose_link_never_opened_was_not_sent(self):
+        self.proxy.set_faults(ProxyFaults(stall=True))
+        self.assertIs(await self.send_request(seconds=0.05), LinkFailure.NOT_SENT)
 
     async def test_requests_that_fill_the_write_buffer_end_as_lost(self):
         await self.send_request()
--- a/tests/platform_node/test_path.py
+++ b/tests/platform_node/test_path.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from bamboojunction.core.admission.breaker import PROBE_INTERVAL_SECONDS
+from bamboojunction.core.load_reports import AdmissionLevel, LoadReport, RankFraction
 from bamboojunction.core.outcomes import NotRun, NotRunReason
 from bamboojunction.core.pause_detector import PAUSE_CHECK_INTERVAL_SECONDS
 from bamboojunction.platform_node.process import CALLER_DRAIN_SECONDS, PlatformNode
@@ -105,6 +106,55 @@
         self.assertEqual(sent["Bamboojunction-Caller-Service"], "menu")
         self.assertLessEqual(int(sent["Bamboojunction-Deadline-Ms"]), 1500)
 
+    async def run_with_child_call(self, child_status: int) -> int:
+        """Return how often a read ran that failed after a child call with the given status."""
+        await self.fleet.configure(
+            configuration(
+                3,
+                route("r-menu", "/menu/", "menu"),
+                route("r-bill", "/bill/", "billing", attempts=1),
+            )
+        )
+        await self.fleet.join()
+        parents = [self.upstream(name) for name in ("a", "b")]
+        for parent in parents:
+            parent.may_respond.clear()
+        self.upstream("c").status = child_status
+        headers = {"Bamboojunction-Request-Id": "root"}
+        answer = asyncio.create_task(self.fleet.request("c", "/menu/x", headers=headers))
+        await self.fleet.wait_until(lambda: any(parent.executed for parent in parents))
+        name = "a" if self.upstream("a").executed else "b"
+        child_headers = {"Bamboojunction-Request-Id": "root.1"}
+        status, _, _ = await self.fleet.request(name, "/bill/x", headers=child_headers)
+        self.assertEqual(status, child_status)
+        for parent in parents:
+            parent.status = 500
+            parent.may_respond.set()
+        self.assertEqual((await answer)[0], 500)
+        return sum(len(parent.executed) for parent in parents)
+
+    async def test_run_that_failed_for_a_child_call_is_not_repeated(self):
+        self.assertEqual(await self.run_with_child_call(500), 1)
+
+    async def test_run_that_failed_by_itself_is_repeated(self):
+        self.assertEqual(await self.run_with_child_call(200), 2)
+
+    async def test_first_gate_of_a_chain_refuses_it_while_a_service_below_sheds(self):
+        await self.configure_and_join()
+        closed = LoadReport(level=AdmissionLevel((RankFraction(1, 0.0),)))
+        now = asyncio.get_running_loop().time()
+        for name in ("a", "b"):
+            gate = self.fleet.machines[name].node.gate
+            gate.dependencies.record_answer("r-menu", "billing", None, None)
+            gate.edge.record_report("billing", "c", closed, now, depth=1)
+        answers = [await self.fleet.request("c", f"/menu/{number}") for number in range(20)]
+        refused = [headers for status, headers, _ in answers if status == 503]
+        # One in fifty finds out when the service takes calls again.
+        self.assertGreaterEqual(len(refused), 17)
+        self.assertTrue(all(float(headers["Retry-After"]) > 0.0 for headers in refused))
+        executed = len(self.upstream("a").executed) + len(self.upstream("b").executed)
+        self.assertEqual(executed, 20 - len(refused))
+
     async def test_unknown_routes_are_not_found(self):
         await self.configure_and_join()
         status, _, _ = await self.fleet.request("a", "/none/x")
--- a/tests/platform_node/test_upstream_connection.py
+++ b/tests/platform_node/test_upstream_connection.py
@@ -140,6 +140,15 @@
         self.assertIs(await pool.exchange(REQUEST, is_idempotent=False), ExchangeFailure.CLOSED)
         self.assertEqual(upstream.requests, 1)
 
+    async def test_exchange_ends_at_its_deadline_and_its_connection_is_dropped(self):
+        upstream = ScriptedUpstream(b"HTTP/1.1 200 OK\r\n", COMPLETE_RESPONSE)
+        pool = await self.start_pool(upstream)
+        for _ in range(2):
+            deadline = asyncio.get_running_loop().time() + 0.05
+            result = await pool.exchange(REQUEST, is_idempotent=False, deadline=deadline)
+            self.assertIs(result, ExchangeFailure.DEADLINE)
+        self.assertEqual(upstream.connections, 2)
+
     async def test_refused_connection_is_not_sent(self):
         with socket.create_server(("127.0.0.1", 0)) as closed:
             port = closed.getsockname()[1]
