--- a/devtools/bamboo_bench/command.py
+++ b/devtools/bamboo_bench/command.py
@@ -11,6 +11,7 @@
     "state": "bamboo_bench.state.command:StateCommand",
     "path": "bamboo_bench.path.command:PathCommand",
     "capacity": "bamboo_bench.capacity.command:CapacityCommand",
+    "replay": "bamboo_bench.replay.command:ReplayCommand",
     "explained": "bamboo_bench.explained:ExplainedCommand",
     "soak": "bamboo_bench.soak.command:SoakCommand",
 }
--- a/devtools/bamboo_bench/policy/plot.py
+++ b/devtools/bamboo_bench/policy/plot.py
@@ -1,4 +1,4 @@
-"""A plot of goodput over time, as an SVG file."""
+"""Plots of goodput over time, as SVG files."""
 
 from pathlib import Path
 
@@ -27,29 +27,37 @@
 
 def write_plot(path: Path, jobs: list[Job]) -> None:
     """Run jobs and write an SVG file with a curve for each."""
-    curves = [goodput_curve(job) for job in jobs]
-    max_rate = max(max(curve) for curve in curves) or 1.0
-    polylines = [
-        _polyline(curve, max_rate, COLOURS[index % len(COLOURS)])
-        for index, curve in enumerate(curves)
+    curve_by_label = {
+        f"scenario {job.scenario} {job.deployment} {job.policy} seed {job.seed}": goodput_curve(job)
+        for job in jobs
+    }
+    max_rate = max(max(curve) for curve in curve_by_label.values()) or 1.0
+    write_curves(path, curve_by_label, max_rate, f"0 to {max_rate:.0f} requests/s in time")
+
+
+def write_curves(
+    path: Path, curve_by_label: dict[str, list[float]], max_value: float, axis_text: str
+) -> None:
+    """Write an SVG file with a curve of equidistant values from 0 to ``max_value`` each."""
+    coloured = [
+        (label, curve, COLOURS[index % len(COLOURS)])
+        for index, (label, curve) in enumerate(curve_by_label.items())
     ]
+    polylines = [_polyline(curve, max_value, colour) for _, curve, colour in coloured]
     labels = [
-        f'<text x="{MARGIN + 10}" y="{MARGIN + 16 * index}" font-size="12" '
-        f'fill="{COLOURS[index % len(COLOURS)]}">scenario {job.scenario} {job.deployment} '
-        f"{job.policy} seed {job.seed}</text>"
-        for index, job in enumerate(jobs)
+        f'<text x="{MARGIN + 10}" y="{MARGIN + 16 * index}" font-size="12" fill="{colour}">'
+        f"{label}</text>"
+        for index, (label, _, colour) in enumerate(coloured)
     ]
-    axis_label = (
-        f'<text x="4" y="{HEIGHT - 4}" font-size="12">0 to {max_rate:.0f} requests/s in time</text>'
-    )
+    axis_label = f'<text x="4" y="{HEIGHT - 4}" font-size="12">{axis_text}</text>'
     body = "\n".join([*polylines, *labels, axis_label])
     head = f'<svg xmlns="http://www.w3.org/2000/svg" width="{WIDTH}" height="{HEIGHT}">'
     path.write_text(f"{head}\n{body}\n</svg>\n")
 
 
-def _polyline(values: list[float], max_rate: float, colour: str) -> str:
+def _polyline(values: list[float], max_value: float, colour: str) -> str:
     x_scale = (WIDTH - 2 * MARGIN) / max(1, len(values) - 1)
-    y_scale = (HEIGHT - 2 * MARGIN) / max_rate
+    y_scale = (HEIGHT - 2 * MARGIN) / max_value
     points = " ".join(
         f"{MARGIN + index * x_scale:.1f},{HEIGHT - MARGIN - value * y_scale:.1f}"
         for index, value in enumerate(values)
