--- a/bamboojunction/links/websocket.py
+++ b/bamboojunction/links/websocket.py
@@ -86,9 +86,10 @@
         if self.state is not State.OPEN:
             super().data_received(data)
             return
-        if self._incomplete_frame:
-            self._incomplete_frame += data
-            data = self._incomplete_frame
+        incomplete_frame = self._incomplete_frame
+        if incomplete_frame:
+            incomplete_frame += data
+            data = incomplete_frame
         start = 0
         while start < len(data):
             frame = scan_frame(
@@ -105,7 +106,9 @@
             if self.state is not State.OPEN or self.transport.is_closing():
                 # Nothing follows a close frame or an aborted connection.
                 start = len(data)
-        self._incomplete_frame = bytearray(data[start:])
+        # A frame of many parts is not copied with each of them.
+        if start or data is not incomplete_frame:
+            self._incomplete_frame = bytearray(data[start:])
 
     def process_event(self, event) -> None:
         """Deliver data frames directly; leave control frames and handshakes to the base class."""
