Repeated calls whose child calls failed for another reason than lack of room

Change: only a child call that was refused because a service is short of room keeps its parent from being repeated.

--- a/bamboojunction/core/calls.py
+++ b/bamboojunction/core/calls.py
@@ -15,8 +15,8 @@
     ``goal_seconds`` is the latency goal: all answers within this time are equally good. It is known
     only at the node where the call entered the mesh, and 0 elsewhere. ``root_action`` is the action
     of the first call of the chain, and ``inherited_rank`` the rank that the chain inherits from
-    that call. They are empty and None if unknown. ``has_failed_child`` is set at the gate that runs
-    the call once one of its child calls was not served.
+    that call. They are empty and None if unknown. ``has_refused_child`` is set at the gate that
+    runs the call once one of its child calls found a service short of room.
     """
 
     action: str
@@ -37,4 +37,4 @@
     goal_seconds: float = 0.0
     root_action: str = ""
     inherited_rank: int | None = None
-    has_failed_child: bool = False
+    has_refused_child: bool = False
--- a/bamboojunction/core/outcomes.py
+++ b/bamboojunction/core/outcomes.py
@@ -46,7 +46,8 @@
 class Ran:
     """The call ran; this is the whole answer of the upstream.
 
-    ``failed_below`` is set if the call failed after one of its own child calls was not served.
+    ``failed_below`` is set if the call failed after one of its own child calls found a service
+    short of room.
     """
 
     status: int
--- a/bamboojunction/core/retries/forwarding.py
+++ b/bamboojunction/core/retries/forwarding.py
@@ -1,8 +1,10 @@
 """The decision whether a request is answered, sent to another gate or repeated.
 
-Load pattern: a service at the end of call chains refuses or fails a part of its calls. Each call is
-repeated where it failed only. If the calls above it were repeated too, one failure would cost a
-repeat at each service of the chain, and the calls that a repeat makes count as repeats as well.
+Load pattern: a service at the end of call chains is short of room and refuses a part of its calls.
+Each call is repeated only where it was refused. If the calls above it were repeated too, one
+refusal would cost a repeat at each service of the chain, and the calls that a repeat makes count as
+repeats as well. A call below may also fail because the node that sent it is cut off or has just
+started; then the call above is repeated, as another instance may reach the service.
 """
 
 from dataclasses import dataclass
@@ -23,6 +25,16 @@
         NotRunReason.UNREACHABLE,
     }
 )
+# Reasons that tell that a service is short of room.
+SHORTAGE_REASONS = frozenset(
+    {
+        NotRunReason.DEADLINE,
+        NotRunReason.FULL,
+        NotRunReason.SHED,
+        NotRunReason.SHED_AT_EDGE,
+        NotRunReason.UPSTREAM_REFUSED,
+    }
+)
 # Limit on the gate refusals of one request, so that it ends when every gate refuses it.
 MOVES_MAX = 6
 
@@ -78,3 +90,13 @@
     if may_repeat and attempts.arrivals <= row.retries and budget.spend(now):
         return Step.REPEAT
     return Step.ANSWER
+
+
+def shows_shortage(outcome: Outcome) -> bool:
+    """Return whether a call was not served as its service, or one below it, is short of room."""
+    match outcome:
+        case Ran(failed_below=failed_below):
+            return failed_below
+        case NotRun(reason=reason):
+            return reason in SHORTAGE_REASONS
+    return False
--- a/bamboojunction/links/messages.py
+++ b/bamboojunction/links/messages.py
@@ -90,7 +90,7 @@
     """The answer to a call request; ``reason`` is empty when the call ran.
 
     ``gate_ms`` is the time spent at the gate; whole milliseconds keep its encoding short.
-    ``failed_below`` is set if the call failed after one of its child calls was not served.
+    ``failed_below`` is set if the call failed after a child call found a service short of room.
     """
 
     request_id: int
--- a/bamboojunction/platform_node/app.py
+++ b/bamboojunction/platform_node/app.py
@@ -10,7 +10,7 @@
 from bamboojunction.core.calls import Call
 from bamboojunction.core.http_messages import HttpRequest, HttpResponse, RawHeaders
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
-from bamboojunction.core.retries.forwarding import SERVER_ERROR_STATUS
+from bamboojunction.core.retries.forwarding import shows_shortage
 from bamboojunction.core.routes import CurrentRoutes, Route
 from bamboojunction.core.table.rows import Effect
 from bamboojunction.platform import heartbeats, requests
@@ -172,10 +172,9 @@
                 else child_call_rank(parent.inherited_rank)
             )
         outcome = await self._forwarder.route(call, route.row)
-        response = requests.outcome_response(outcome, headers.request_id)
-        if parent is not None and response.status >= SERVER_ERROR_STATUS:
-            parent.has_failed_child = True
-        return response
+        if parent is not None and shows_shortage(outcome):
+            parent.has_refused_child = True
+        return requests.outcome_response(outcome, headers.request_id)
 
     def _build_call(self, request: HttpRequest, headers: CallerHeaders, route: Route) -> Call:
         timeout = (
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -217,7 +217,7 @@
         finally:
             self._running_by_request_id.pop(call.action, None)
         match reply.outcome:
-            case Ran(status=status) if status >= SERVER_ERROR_STATUS and call.has_failed_child:
+            case Ran(status=status) if status >= SERVER_ERROR_STATUS and call.has_refused_child:
                 return replace(reply, outcome=replace(reply.outcome, failed_below=True))
         return reply
 
--- a/tests/platform_node/test_path.py
+++ b/tests/platform_node/test_path.py
@@ -106,8 +106,8 @@
         self.assertEqual(sent["Bamboojunction-Caller-Service"], "menu")
         self.assertLessEqual(int(sent["Bamboojunction-Deadline-Ms"]), 1500)
 
-    async def run_with_child_call(self, child_status: int) -> int:
-        """Return how often a read ran that failed after a child call with the given status."""
+    async def run_with_child_call(self, is_refused: bool, child_status: int) -> int:
+        """Return how often a read ran that failed after a child call that was refused or ran."""
         await self.fleet.configure(
             configuration(
                 3,
@@ -119,6 +119,7 @@
         parents = [self.upstream(name) for name in ("a", "b")]
         for parent in parents:
             parent.may_respond.clear()
+        self.upstream("c").is_refusing = is_refused
         self.upstream("c").status = child_status
         headers = {"Bamboojunction-Request-Id": "root"}
         answer = asyncio.create_task(self.fleet.request("c", "/menu/x", headers=headers))
@@ -126,18 +127,21 @@
         name = "a" if self.upstream("a").executed else "b"
         child_headers = {"Bamboojunction-Request-Id": "root.1"}
         status, _, _ = await self.fleet.request(name, "/bill/x", headers=child_headers)
-        self.assertEqual(status, child_status)
+        self.assertEqual(status, 503 if is_refused else child_status)
         for parent in parents:
             parent.status = 500
             parent.may_respond.set()
         self.assertEqual((await answer)[0], 500)
         return sum(len(parent.executed) for parent in parents)
 
-    async def test_run_that_failed_for_a_child_call_is_not_repeated(self):
-        self.assertEqual(await self.run_with_child_call(500), 1)
+    async def test_run_that_failed_for_a_refused_child_call_is_not_repeated(self):
+        self.assertEqual(await self.run_with_child_call(True, 200), 1)
+
+    async def test_run_that_failed_beside_a_failed_child_call_is_repeated(self):
+        self.assertEqual(await self.run_with_child_call(False, 500), 2)
 
     async def test_run_that_failed_by_itself_is_repeated(self):
-        self.assertEqual(await self.run_with_child_call(200), 2)
+        self.assertEqual(await self.run_with_child_call(False, 200), 2)
 
     async def test_first_gate_of_a_chain_refuses_it_while_a_service_below_sheds(self):
         await self.configure_and_join()
--- a/tests/retries/test_forwarding.py
+++ b/tests/retries/test_forwarding.py
@@ -5,7 +5,13 @@
 
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Ran, Unknown, UnknownReason
 from bamboojunction.core.retries.fleet_budget import FleetRetryBudget, RetryLimit
-from bamboojunction.core.retries.forwarding import MOVES_MAX, RequestAttempts, Step, next_step
+from bamboojunction.core.retries.forwarding import (
+    MOVES_MAX,
+    RequestAttempts,
+    Step,
+    next_step,
+    shows_shortage,
+)
 from bamboojunction.core.table.rows import Effect, Row
 
 RETRY_LIMIT = RetryLimit(ratio=0.2, slack=48.0, window=10.0)
@@ -32,6 +38,15 @@
         self.assertIs(self.step(Ran(500)), Step.REPEAT)
         self.assertIs(self.step(Ran(500, failed_below=True)), Step.ANSWER)
 
+    def test_only_refusals_for_lack_of_room_show_a_shortage(self):
+        short = (NotRun(NotRunReason.UPSTREAM_REFUSED), NotRun(NotRunReason.SHED))
+        for outcome in (*short, Ran(500, failed_below=True)):
+            self.assertTrue(shows_shortage(outcome), outcome)
+        local = (NotRun(NotRunReason.NO_UPSTREAM), NotRun(NotRunReason.UNREACHABLE))
+        for outcome in (*local, NotRun(NotRunReason.NO_CONFIGURATION), Ran(500), Ran(200)):
+            self.assertFalse(shows_shortage(outcome), outcome)
+        self.assertFalse(shows_shortage(Unknown(UnknownReason.LOST_LINK)))
+
     def test_at_most_once_kinds_are_not_repeated_after_they_may_have_run(self):
         outcomes = (
             Ran(500),
