Called a node at once when it is known to be up after it was tried too early

Cause: a node gossips to the addresses in its settings before their nodes listen. Requests to an address fail at once for 0.2 s after a failed connection, so the first call to a node that had just started was refused as unreachable, with all its retries, and its caller got 502. A trace with the failures of the pool shows it: 4 of 15 runs of test_call_is_counted_at_the_edge failed, each after such a refusal. The reconnects of the platform's nodes are unchanged.

Change: the failures of an address are forgotten when its node joins or changes.

--- a/bamboojunction/links/pool.py
+++ b/bamboojunction/links/pool.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
@@ -106,6 +106,11 @@
         """Return the outgoing links that are open."""
         return [link for link in self._links_by_address.values() if link.is_open]
 
+    def forget_failures(self, addresses: Iterable[str]) -> None:
+        """Try the next request to these addresses at once, as their nodes are known to be up."""
+        for address in addresses:
+            self._connect_failed_at.pop(address, None)
+
     def drop_link(self, address: str) -> None:
         """Abort the link to an unresponsive node, unless requests are pending on it."""
         link = self._links_by_address.get(address)
--- a/bamboojunction/node/process.py
+++ b/bamboojunction/node/process.py
@@ -223,7 +223,10 @@
 
     def _update_router(self) -> None:
         for service in self.view.pop_changed_services():
-            self.router.update_instances(service, self.view.serving(service))
+            serving = self.view.serving(service)
+            # A node that has just started may have been tried before it listened.
+            self.links.forget_failures(entry.address for entry in serving)
+            self.router.update_instances(service, serving)
 
     async def _serve_request(self, request: CallRequest) -> GateReply:
         now = self._loop.time()
