--- a/bamboojunction/platform_node/forwarder.py
+++ b/bamboojunction/platform_node/forwarder.py
@@ -1,6 +1,7 @@
 """Forwarding of requests to the gates of upstream instances, with failover and retries."""
 
 import asyncio
+import random
 
 from bamboojunction.core.admission.dependencies import child_call_rank
 from bamboojunction.core.calls import Call
@@ -27,7 +28,14 @@
 class Forwarder(CallRouter):
     """A router that forwards each request to gates until its outcome is final."""
 
-    __slots__ = ("_budget_by_service", "_events", "_local_gate", "_retry_limit", "node_count")
+    __slots__ = (
+        "_budget_by_service",
+        "_events",
+        "_local_gate",
+        "_random",
+        "_retry_limit",
+        "node_count",
+    )
 
     def __init__(
         self,
@@ -38,9 +46,11 @@
         gate: PlatformNodeGate,
         retry_limit: RetryLimit,
         events: EventLog,
+        rng: random.Random | None = None,
     ):
         super().__init__(instance, router, view, links, gate, gate.edge)
         self._retry_limit = retry_limit
+        self._random = rng or random.Random()
         self._events = events
         self._budget_by_service: dict[str, FleetRetryBudget] = {}
         self._local_gate = gate
@@ -55,7 +65,7 @@
         """Return this node's retry budget for a service."""
         budget = self._budget_by_service.get(service)
         if budget is None:
-            budget = FleetRetryBudget(self._retry_limit, self._loop.time())
+            budget = FleetRetryBudget(self._retry_limit, self._loop.time(), self._random)
             self._budget_by_service[service] = budget
         budget.node_count = self.node_count
         return budget
--- a/devtools/bamboo_bench/replay/fleet.py
+++ b/devtools/bamboo_bench/replay/fleet.py
@@ -153,7 +153,6 @@
 
     async def _run(self, call: Call) -> Ran:
         kind = self._fleet.kind_by_name[call.kind]
-        self._fleet.runs_by_kind[call.kind] += 1
         await asyncio.sleep(self._work_seconds(kind))
         calls = itertools.chain.from_iterable(
             itertools.repeat(child.kind, child.times) for child in kind.calls
@@ -213,6 +212,7 @@
             self.gate,
             RetryLimit(pattern.retry_ratio, pattern.retry_slack, pattern.retry_window_seconds),
             events,
+            rng,
         )
         ports = PlatformNodeAppPorts(CALLER_PORT, 0, 0)
         self.app = PlatformNodeApp(
@@ -238,7 +238,6 @@
         self.routes.replace_if_newer(routes_of(pattern))
         self.log_descriptor = os.open(os.devnull, os.O_WRONLY)
         self.arrivals_by_instance: Counter[str] = Counter()
-        self.runs_by_kind: Counter[str] = Counter()
         self.node_by_instance: dict[str, ReplayNode] = {}
         self.instances_by_service: dict[str, list[str]] = defaultdict(list)
         data_centres = itertools.cycle(pattern.data_centres)
--- a/tests/replay/test_replay.py
+++ b/tests/replay/test_replay.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bamboo_bench.replay.pattern import load_pattern
+from bamboo_bench.replay.pattern import Refusals, load_pattern
 from bamboo_bench.replay.runner import ReplayResult, replay
 
 SEED = 1
@@ -22,7 +22,10 @@
 
 class ReplayTests(unittest.TestCase):
     def test_same_seed_gives_the_same_records(self):
-        pattern = msgspec.structs.replace(load_pattern("chain-burst"), seconds=2.0)
+        refusals = Refusals(at=0.2, seconds=2.0, service="log", share=0.55)
+        pattern = msgspec.structs.replace(
+            load_pattern("refusing-leaf"), seconds=2.0, changes=(refusals,)
+        )
         first, second = (replay(pattern, SEED).records for _ in range(2))
         self.assertGreater(len(first), 100)
         self.assertEqual(first, second)
