--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -32,6 +32,7 @@
         self.record = record
         self.sent = {}
         self.answers = {}
+        self.answered_at = {}
         self.on_kept_connection = set()
         self._number = 0
         store_host = f"127.{network}.0.1"
@@ -101,10 +102,12 @@
         await asyncio.gather(*(machine.close() for machine in self.machines))
         self.store.server.stop()
 
-    async def call(self, machine, method, target, deadline_seconds, body=b"", label=""):
+    async def call(
+        self, machine, method, target, deadline_seconds, body=b"", label="", request_id=""
+    ):
         """Send one client attempt to the node of a machine, and record it and its answer."""
         self._number += 1
-        request_id = f"{self._number:08x}c41d07be"
+        request_id = request_id or f"{self._number:08x}c41d07be"
         self.sent[request_id] = {
             "at": self.record.now(),
             "machine": machine,
@@ -130,6 +133,7 @@
         )
         shown = answer.status if isinstance(answer, Answer) else answer
         self.answers[request_id] = shown
+        self.answered_at[request_id] = self.record.now()
         self.record.add("answer", id=request_id, answer=shown)
         if shown == 200:
             expected = stamp(request_id, answer.body)
--- a/review/harness/machines.py
+++ b/review/harness/machines.py
@@ -212,6 +212,7 @@
             "id": request_id,
             "at": self.record.now(),
             "backend": self.id,
+            "born": self.born,
             "method": request.method,
             "target": request.target,
             "body": request.body,
