--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -28,7 +28,7 @@
     ``services`` names the service of each machine, ``paths`` are the routes of the configuration.
     """
 
-    def __init__(self, record, folder, network, services, paths, slots=20):
+    def __init__(self, record, folder, network, services, paths, slots=20, zones=ZONES):
         self.record = record
         self.sent = {}
         self.answers = {}
@@ -42,7 +42,7 @@
         for number, service in enumerate(services):
             host = f"127.{network}.1.{number + 1}"
             backend = Backend(service, host, slots, record)
-            zone = ZONES[number % len(ZONES)]
+            zone = zones[number % len(zones)]
             self.machines.append(
                 Machine(
                     f"sidecar-{zone}-{number + 1}",
@@ -58,11 +58,27 @@
     async def start(self):
         """Start everything and wait until all nodes serve."""
         await self.store.server.start()
+        self.configure(7, self._paths)
+        await asyncio.gather(*(machine.backend.start() for machine in self.machines))
+        await asyncio.gather(*(machine.start() for machine in self.machines))
+        deadline = asyncio.get_running_loop().time() + READY_SECONDS
+        names = len(self.machines)
+        while not all(machine.is_ready for machine in self.machines) or (
+            sum(len(self.store.names(kind)) for kind in self._own_kinds()) < names
+        ):
+            if asyncio.get_running_loop().time() > deadline:
+                raise CouldNotRunError("the nodes did not become ready")
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(4.0)
+
+    def configure(self, version, paths):
+        """Write a version of the configuration with the given routes, as the operator does."""
+        self.record.add("configuration", version=version)
         self.store.write(
             "config",
             "main",
             {
-                "version": 7,
+                "version": version,
                 "services": [
                     {
                         "name": name,
@@ -79,20 +95,9 @@
                     "header_timeout_ms": 3000,
                     "idle_timeout_ms": 15000,
                 },
-                "vhosts": [{"host": HOST, "paths": self._paths}],
+                "vhosts": [{"host": HOST, "paths": paths}],
             },
         )
-        await asyncio.gather(*(machine.backend.start() for machine in self.machines))
-        await asyncio.gather(*(machine.start() for machine in self.machines))
-        deadline = asyncio.get_running_loop().time() + READY_SECONDS
-        names = len(self.machines)
-        while not all(machine.is_ready for machine in self.machines) or (
-            sum(len(self.store.names(kind)) for kind in self._own_kinds()) < names
-        ):
-            if asyncio.get_running_loop().time() > deadline:
-                raise CouldNotRunError("the nodes did not become ready")
-            await asyncio.sleep(0.1)
-        await asyncio.sleep(4.0)
 
     def _own_kinds(self):
         return {kind for kind, _ in self.store._objects if kind != "config"}
@@ -168,7 +173,7 @@
         )
 
 
-def run_case(case, network, services, paths, slots=20):
+def run_case(case, network, services, paths, slots=20, zones=ZONES):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
     ``case`` is awaited with the deployment and whether the disruption takes place; it returns
@@ -178,7 +183,7 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play(folder):
-        deployment = Deployment(record, folder, network, services, paths, slots)
+        deployment = Deployment(record, folder, network, services, paths, slots, zones)
         try:
             await deployment.start()
             return await case(deployment, has_trouble)
--- a/review/harness/machines.py
+++ b/review/harness/machines.py
@@ -212,6 +212,7 @@
             "id": request_id,
             "at": self.record.now(),
             "backend": self.id,
+            "service": self.service,
             "born": self.born,
             "method": request.method,
             "target": request.target,
@@ -392,6 +393,20 @@
                     self.record.add("not-ready", machine=self.name)
             await asyncio.sleep(PROBE_SECONDS)
 
+    def lose(self):
+        """Remove the machine for good: neither its node nor its backend comes back."""
+        self._watch.cancel()
+        self._probe.cancel()
+        self.is_ready = False
+        self.send_signal(signal.SIGKILL)
+        self.backend.stop_beats()
+        self.backend.is_up = False
+        self.backend.server.stop()
+
+    def read_log(self):
+        """Return what the node process has written so far."""
+        return (self._folder / f"{self.name}.log").read_text()
+
     async def close(self):
         """Kill the node, and stop the backend and all tasks."""
         self.backend.stop_beats()
