--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -187,6 +187,11 @@
         try:
             await deployment.start()
             return await case(deployment, has_trouble)
+        except CouldNotRunError:
+            for machine in deployment.machines:
+                last_line = machine.read_log().strip().rpartition("\n")[2]
+                record.add("log-end", machine=machine.name, line=last_line)
+            raise
         finally:
             await deployment.close()
 
--- a/review/harness/machines.py
+++ b/review/harness/machines.py
@@ -5,6 +5,7 @@
 import hashlib
 import json
 import os
+import random
 import signal
 import socket
 import time
@@ -38,13 +39,27 @@
 CONTACT_SECONDS = BOUNDS["contact_ms"] / 1000
 DRAIN_SECONDS = BOUNDS["drain_ms"] / 1000
 HOST = "hulo84.example"
+PORTS = (20_000, 30_000)
+_taken = set()
 
 
 def free_port(host):
-    """Return a port that is free on a loopback address."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free on a loopback address and was not returned before.
+
+    It lies below the ports that the system gives to outgoing connections, so that it is still free
+    when a process that uses it starts again.
+    """
+    while True:
+        address = (host, random.randrange(*PORTS))
+        if address in _taken:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(address)
+            except OSError:
+                continue
+        _taken.add(address)
+        return address[1]
 
 
 def stamp(request_id, body):
