Left the reading of TROUBLE to the cases

Cause: only the shared stand-ins read TROUBLE, so that a case didn't show how it is played without its disruption; means for cases that were given up were left in them. Change: the cases pass it, and what no case uses is gone.

--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -28,7 +28,7 @@
     ``services`` names the service of each machine, ``paths`` are the routes of the configuration.
     """
 
-    def __init__(self, record, folder, network, services, paths, slots=20, zones=ZONES):
+    def __init__(self, record, folder, network, services, paths, slots=20):
         self.record = record
         self.sent = {}
         self.answers = {}
@@ -42,7 +42,7 @@
         for number, service in enumerate(services):
             host = f"127.{network}.1.{number + 1}"
             backend = Backend(service, host, slots, record)
-            zone = zones[number % len(zones)]
+            zone = ZONES[number % len(ZONES)]
             self.machines.append(
                 Machine(
                     f"sidecar-{zone}-{number + 1}",
@@ -173,17 +173,16 @@
         )
 
 
-def run_case(case, network, services, paths, slots=20, zones=ZONES):
+def run_case(case, network, services, paths, has_trouble, slots=20):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
     ``case`` is awaited with the deployment and whether the disruption takes place; it returns
     whether the rule was broken.
     """
     record = Record(Path(sys.argv[0]).resolve().parent / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play(folder):
-        deployment = Deployment(record, folder, network, services, paths, slots, zones)
+        deployment = Deployment(record, folder, network, services, paths, slots)
         try:
             await deployment.start()
             return await case(deployment, has_trouble)
--- a/review/harness/machines.py
+++ b/review/harness/machines.py
@@ -107,9 +107,6 @@
         self.behave = self._work
         self.control = None
         self.started_count = 0
-        # Whether it starts again under the id that it had, and the error of its time of day.
-        self.keeps_id = False
-        self.clock_ahead_ms = 0
         self.server = Server(self._handle, host, free_port(host))
         self._running = 0
         self._beats = None
@@ -122,10 +119,9 @@
 
     def _begin(self):
         self.started_count += 1
-        if self.started_count == 1 or not self.keeps_id:
-            self.id = f"i-{self.service}-{self.server.port}-{self.started_count}"
+        self.id = f"i-{self.service}-{self.server.port}-{self.started_count}"
         self.state = "ready"
-        self.born = time.time_ns() // 1_000_000 + self.clock_ahead_ms
+        self.born = time.time_ns() // 1_000_000
         self.sequence = 0
         self.running_ids = set()
 
@@ -227,8 +223,6 @@
             "id": request_id,
             "at": self.record.now(),
             "backend": self.id,
-            "service": self.service,
-            "born": self.born,
             "method": request.method,
             "target": request.target,
             "body": request.body,
@@ -408,16 +402,6 @@
                     self.record.add("not-ready", machine=self.name)
             await asyncio.sleep(PROBE_SECONDS)
 
-    def lose(self):
-        """Remove the machine for good: neither its node nor its backend comes back."""
-        self._watch.cancel()
-        self._probe.cancel()
-        self.is_ready = False
-        self.send_signal(signal.SIGKILL)
-        self.backend.stop_beats()
-        self.backend.is_up = False
-        self.backend.server.stop()
-
     def read_log(self):
         """Return what the node process has written so far."""
         return (self._folder / f"{self.name}.log").read_text()
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -17,8 +17,6 @@
         self.address = f"{host}:{port}"
         self.server = Server(self._handle, host, port)
         self.revision = 100
-        # How old the answers to watches with ``stale_ok`` are.
-        self.stale_seconds = 0.0
         self._objects = {}
         self._changes = []
         self._changed = asyncio.Event()
@@ -111,10 +109,7 @@
             changed = self._changed
             left = deadline - loop.time()
             if events or left <= 0:
-                answer = {"events": events, "store_revision": self.revision}
-                if events and query.get("stale_ok") == "1":
-                    await asyncio.sleep(self.stale_seconds)
-                return 200, answer
+                return 200, {"events": events, "store_revision": self.revision}
             try:
                 async with asyncio.timeout(left):
                     await changed.wait()
