--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,13 @@
 """Answers without end fill a node's memory, and its end cuts off the requests of other clients."""
 
 import asyncio
+import os
 import signal
 
 from harness.deployment import run_case
 
+# With TROUBLE=0 in the environment the disruption is left out.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PATHS = [
     {
         "name": "r-lookup",
@@ -127,4 +130,4 @@
         await asyncio.sleep(MEMORY_CHECK_SECONDS)
 
 
-run_case(case, 75, SERVICES, PATHS, slots=60)
+run_case(case, 75, SERVICES, PATHS, slots=60, has_trouble=HAS_TROUBLE)
