--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,11 +1,14 @@
 """A backend that has left is used again after its node was killed and restarted."""
 
 import asyncio
+import os
 import signal
 
 from harness.deployment import CouldNotRunError, run_case
 from harness.machines import BEAT_SECONDS, CONTACT_SECONDS, DRAIN_SECONDS
 
+# With TROUBLE=0 in the environment the disruption is left out.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PATHS = [
     {
         "name": "r-charge",
@@ -113,4 +116,4 @@
 
 
 assert HELD_SECONDS > BEAT_SECONDS
-run_case(case, 71, SERVICES, PATHS)
+run_case(case, 71, SERVICES, PATHS, has_trouble=HAS_TROUBLE)
