Freed the bodies of failed exchanges at once

What callers saw: an upstream that sends bodies without end takes the node beside it to its memory limit; the node is killed, and other clients' requests on that machine lose their connections. Cause: a connection and its httptools parser refer to each other, so only the garbage collector frees the pair with the body, and it is tuned to run rarely; the budget counted the bytes as released. Ruled out: the bound on one body (18.75 MB, held) and heads, trailers and interim answers (cut at 64 kB). Change: the parser lives only during an exchange; bodies are cleared with their reservation. Related paths: an unfinished upload of a caller that left, and a pipelined upload that was never started. The three tests failed before (references alive, reservation kept).

--- a/bamboojunction/callers/connection.py
+++ b/bamboojunction/callers/connection.py
@@ -89,7 +89,7 @@
         self._pipeline = RequestPipeline()
         self._tasks: dict[PipelinedRequest, asyncio.Task] = {}
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         # Set once no further request is read.
         self._is_discarding = False
         self._is_rejecting = False
@@ -113,9 +113,16 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the work on all requests of the caller."""
         self._on_closed(self)
+        # The parser refers back to the connection, and such a cycle would keep the body of an
+        # unfinished request in memory until the garbage collector runs.
+        self._parser = None
+        self._body.clear()
         self._reservation.release()
         for task in self._tasks.values():
             task.cancel()
+        # A task that is cancelled before its first step does not run at all.
+        self._tasks.clear()
+        self._discard_requests()
 
     def pause_writing(self) -> None:
         """Start no further request while the caller does not read its responses."""
@@ -285,6 +292,14 @@
         self._pipeline.answer(pipelined, response)
         self._advance()
 
+    def _discard_requests(self) -> None:
+        """Discard the requests that will not be answered, and release their memory."""
+        for discarded in self._pipeline.clear():
+            if discarded.content is not None:
+                _, reservation = discarded.content
+                reservation.release()
+                discarded.content = None
+
     def _write_answered(self) -> None:
         answered = self._pipeline.pop_answered()
         if not answered:
@@ -295,6 +310,7 @@
         )
         if not answered[-1].closes_connection:
             return
+        self._discard_requests()
         if self._is_rejecting:
             self._transport.write_eof()
         else:
--- a/bamboojunction/core/pipelining.py
+++ b/bamboojunction/core/pipelining.py
@@ -46,10 +46,12 @@
     closes the connection was added, no request behind the last one in work is started.
     """
 
-    __slots__ = ("_is_closing", "_requests")
+    __slots__ = ("_is_closed", "_is_closing", "_requests")
 
     def __init__(self):
         self._requests: deque[PipelinedRequest] = deque()
+        # Set once the response that closes the connection was removed.
+        self._is_closed = False
         self._is_closing = False
 
     def __len__(self) -> int:
@@ -76,6 +78,8 @@
     def start_next(self) -> list[PipelinedRequest]:
         """Mark the requests that may start now as in work, and return them."""
         started: list[PipelinedRequest] = []
+        if self._is_closed:
+            return started
         for position, request in enumerate(self._requests):
             if request.stage is Stage.WAITING:
                 is_first = position == 0
@@ -93,7 +97,8 @@
     def pop_answered(self) -> list[PipelinedRequest]:
         """Remove and return the answered requests whose turn it is.
 
-        The last one has ``closes_connection`` set if the connection is to be closed after it.
+        The last one has ``closes_connection`` set if the connection is to be closed after it. The
+        requests behind it are then not started; ``clear`` returns them.
         """
         answered: list[PipelinedRequest] = []
         while self._requests and self._requests[0].stage is Stage.ANSWERED:
@@ -102,8 +107,15 @@
             if self._is_closing and not self._is_any_started():
                 request.closes_connection = True
             if request.closes_connection:
-                self._requests.clear()
+                self._is_closed = True
+                break
         return answered
 
+    def clear(self) -> list[PipelinedRequest]:
+        """Remove and return all requests."""
+        removed = list(self._requests)
+        self._requests.clear()
+        return removed
+
     def _is_any_started(self) -> bool:
         return any(request.stage is not Stage.WAITING for request in self._requests)
--- a/bamboojunction/upstreams/connection.py
+++ b/bamboojunction/upstreams/connection.py
@@ -75,6 +75,9 @@
         self.idle_timeout_seconds: float | None = None
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[RawResponse | ExchangeFailure] | None = None
+        # Only there during an exchange: it refers back to the connection, and such a cycle would
+        # keep the body in memory until the garbage collector runs.
+        self._parser: httptools.HttpResponseParser | None = None
         self._reset()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -96,6 +99,7 @@
         if not self.is_reusable:
             return ExchangeFailure.NOT_SENT
         self._reset()
+        self._parser = httptools.HttpResponseParser(self)
         self._match_response = match_response
         self.is_reusable = False
         self._waiter = self._loop.create_future()
@@ -112,7 +116,8 @@
             if timer is not None:
                 timer.cancel()
             self._waiter = None
-            self._reservation.release()
+            self._parser = None
+            self._release_body()
         if isinstance(result, ExchangeFailure):
             self.abort()
             return result
@@ -132,7 +137,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the response; bytes outside it make the connection unusable."""
-        if self._waiter is None or self._is_complete:
+        if self._waiter is None or self._waiter.done():
             self._stop_reuse()
             return
         self._has_response_bytes = True
@@ -197,6 +202,7 @@
             self._body += body
         else:
             self._is_oversized = True
+            self._release_body()
             self._resolve(ExchangeFailure.OVERSIZED)
 
     def on_message_complete(self) -> None:
@@ -222,12 +228,14 @@
 
     def _discard_response(self) -> None:
         self._headers.clear()
+        self._release_body()
+        self._are_headers_complete = False
+
+    def _release_body(self) -> None:
         self._body.clear()
         self._reservation.release()
-        self._are_headers_complete = False
 
     def _reset(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
         self._status = 0
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
--- a/tests/callers/test_connection.py
+++ b/tests/callers/test_connection.py
@@ -1,8 +1,10 @@
 """Connections of callers over real sockets: pipelining, disconnects, stops and bounds on memory."""
 
 import asyncio
+import gc
 import unittest
 import unittest.mock
+import weakref
 
 from bamboojunction.callers import connection as connection_module
 from bamboojunction.callers.connection import Rejection
@@ -197,6 +199,26 @@
         writer.transport.abort()
         await self.wait_until(lambda: self.memory.held_bytes == 0)
 
+    async def test_unfinished_upload_is_freed_without_the_garbage_collector(self):
+        """The body of an upload whose caller left stayed in memory until a collection."""
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        _, writer = await self.send(post("/u", bytes(100_000))[:-1])
+        await self.wait_until(lambda: self.memory.held_bytes > 0)
+        references = [weakref.ref(connection) for connection in self.server._connections]
+        writer.transport.abort()
+        await self.wait_until(lambda: all(reference() is None for reference in references))
+        self.assertEqual(len(references), 1)
+
+    async def test_memory_of_pipelined_uploads_is_freed_when_they_are_not_started(self):
+        """An upload behind a request whose caller left kept its part of the memory for bodies."""
+        _, writer = await self.send(post("/held") + post("/u", bytes(100_000)))
+        await self.wait_until(lambda: self.memory.held_bytes > 0)
+        writer.transport.abort()
+        await self.wait_until(lambda: self.memory.held_bytes == 0)
+        self.assertEqual(self.handler.started, ["/held"])
+
     async def test_requests_beyond_a_bound_are_rejected(self):
         endless_header = b"GET / HTTP/1.1\r\nx: " + bytes([120]) * 70_000
         body = bytes(ScriptedHandler.body_max_bytes + 1)
--- a/tests/platform_node/test_upstream_connection.py
+++ b/tests/platform_node/test_upstream_connection.py
@@ -4,9 +4,12 @@
 """
 
 import asyncio
+import gc
 import socket
 import struct
 import unittest
+import weakref
+from unittest import mock
 
 from bamboojunction.core.calls import Call
 from bamboojunction.core.memory_budget import MemoryBudget
@@ -14,7 +17,8 @@
 from bamboojunction.core.routes import CurrentRoutes
 from bamboojunction.platform.requests import response_owner
 from bamboojunction.platform_node.gate import UpstreamSender
-from bamboojunction.upstreams.connection import ExchangeFailure, RawResponse
+from bamboojunction.upstreams import pool as pool_module
+from bamboojunction.upstreams.connection import ExchangeFailure, RawResponse, UpstreamConnection
 from bamboojunction.upstreams.pool import UpstreamPool
 from tests.endless import RESPONSES, EndlessServer
 
@@ -181,6 +185,28 @@
                     self.assertIs(result, ExchangeFailure.OVERSIZED)
                     await upstream.is_cut.wait()
 
+    async def test_endless_bodies_are_freed_without_the_garbage_collector(self):
+        """Bodies of failed responses stayed in memory, outside the budget, until a collection."""
+        upstream = EndlessServer(*RESPONSES["body without length"])
+        pool = await self.start_pool(upstream)
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        references: list[weakref.ref] = []
+
+        def create_connection(*arguments) -> UpstreamConnection:
+            connection = UpstreamConnection(*arguments)
+            references.append(weakref.ref(connection))
+            return connection
+
+        with mock.patch.object(pool_module, "UpstreamConnection", create_connection):
+            result = await pool.exchange(REQUEST, is_idempotent=False)
+        self.assertIs(result, ExchangeFailure.OVERSIZED)
+        async with asyncio.timeout(5.0):
+            while any(reference() is not None for reference in references):
+                await asyncio.sleep(0.01)
+        self.assertEqual(len(references), 1)
+
     async def test_bodies_of_all_connections_share_one_bound(self):
         memory = MemoryBudget(MEMORY_BYTES)
         body = bytes(BODY_MAX_BYTES)
