Kept acknowledged departures across restarts of a node

What callers saw: a node that was killed after it had acknowledged its upstream's departure used the upstream again; charges in work were lost when it ended. Cause: departures were kept in the process only and the announcement was deleted, so that a late heartbeat looked like that of a new upstream. Ruled out: calls of peers with an old view (a restarted gate refuses until its first heartbeat). Change: the node's entry in the store holds its departures while it doesn't serve, by the same single write as before; the acknowledgement waits up to 0.5 s for it; a node that starts again reads the entry before it trusts a heartbeat, for at most 3 s. The same for a late report of readiness after draining. The tests of a restarted node failed before (the upstream served).

--- a/bamboojunction/platform/node_settings.py
+++ b/bamboojunction/platform/node_settings.py
@@ -22,6 +22,8 @@
     service: str
     # The address of the upstream, which is reachable only from this machine.
     app_addr: str
+    # Whether the whole system starts for the first time.
+    bootstrap: bool = False
     limits: _MachineLimits = msgspec.field(default_factory=_MachineLimits)
 
 
@@ -70,7 +72,8 @@
 
     ``retry_ratio``, ``retry_slack`` and ``retry_window_seconds`` bound the retries that reach a
     service, summed over all nodes. ``memory_bytes`` is the memory limit of the process, and
-    ``store_history_seconds`` the time for which the store keeps changes for watches.
+    ``store_history_seconds`` the time for which the store keeps changes for watches. With
+    ``is_first_start`` no earlier process of this node has acknowledged anything.
     """
 
     instance: str
@@ -89,6 +92,7 @@
     retry_slack: float
     memory_bytes: int
     store_history_seconds: float = 20.0
+    is_first_start: bool = False
 
 
 def load_node_settings(path: Path) -> Result[PlatformNodeSettings, str]:
@@ -125,5 +129,6 @@
             retry_slack=bounds.budget_slack,
             memory_bytes=int(machine.limits.memory_mb * 1_000_000),
             store_history_seconds=store.history_s,
+            is_first_start=machine.bootstrap,
         )
     )
--- a/bamboojunction/platform_node/app.py
+++ b/bamboojunction/platform_node/app.py
@@ -1,6 +1,7 @@
 """The HTTP application of a platform node: caller requests, upstream reports and probes."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from urllib.parse import unquote
 
 from result import Err, Ok
@@ -25,6 +26,9 @@
 STOPPING_RETRY_AFTER_SECONDS = 0.3
 # By then some of the bodies that fill the memory have been passed on.
 MEMORY_RETRY_AFTER_SECONDS = 0.5
+# How long the acknowledgement of a departure waits for the store. The upstream asks for an answer
+# within a second.
+STORE_DEPARTURE_SECONDS = 0.5
 METRICS_PATH = "/metrics"
 
 
@@ -40,6 +44,7 @@
         gate: PlatformNodeGate,
         events: EventLog,
         ports: "PlatformNodeAppPorts",
+        wait_until_stored: Callable[[float], Awaitable[bool]],
     ):
         self._service = service
         self._current_routes = current_routes
@@ -48,6 +53,7 @@
         self._gate = gate
         self._events = events
         self._ports = ports
+        self._wait_until_stored = wait_until_stored
         self._loop = asyncio.get_running_loop()
         self.in_flight = 0
         self.is_stopping = False
@@ -71,7 +77,7 @@
             return await self._serve_caller(request)
         if request.port in (self._ports.ready, self._ports.metrics):
             return self._serve_probe(_decoded_path(request.target))
-        return self._handle_report(request)
+        return await self._handle_report(request)
 
     def reject(self, rejection: Rejection, headers: RawHeaders) -> HttpResponse:
         """Return the response to a request that was not passed on."""
@@ -100,19 +106,15 @@
         is_ready = not self.is_stopping and self._current_routes.routes.version > 0
         return HttpResponse(200 if is_ready else 503)
 
-    def _handle_report(self, request: HttpRequest) -> HttpResponse:
+    async def _handle_report(self, request: HttpRequest) -> HttpResponse:
         path = _decoded_path(request.target)
         match heartbeats.read_report(request.method, path, request.body):
             case Ok(report):
                 change = self._local_upstream.apply(report)
-                if change is not UpstreamChange.NONE:
-                    latest = self._local_upstream.latest_heartbeat
-                    self._events.upstream_changed(
-                        change.name.lower(),
-                        report.instance_id,
-                        slots=latest.slots if latest else 0,
-                        cold=latest.cold_seconds if latest else 0.0,
-                    )
+                has_left = change in (UpstreamChange.DRAINING, UpstreamChange.GONE)
+                # An acknowledged departure binds also the next process of this node.
+                if has_left and not await self._wait_until_stored(STORE_DEPARTURE_SECONDS):
+                    self._events.departure_not_stored(report.instance_id)
                 return HttpResponse(200, (("content-type", "application/json"),), b"{}")
             case Err(problem):
                 self._events.upstream_report_rejected(request.method, path, problem)
--- a/bamboojunction/platform_node/local_upstream.py
+++ b/bamboojunction/platform_node/local_upstream.py
@@ -1,8 +1,9 @@
 """The state of the local upstream, derived from its own heartbeats and departures."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum, auto
 
+from bamboojunction.core.membership.departures import DepartureLog, UpstreamDeparture
 from bamboojunction.platform.heartbeats import Departure, Heartbeat
 
 
@@ -19,21 +20,30 @@
     """The state of the upstream that runs beside this node, across its restarts.
 
     A heartbeat takes effect if its start time is later than the current one's, or if it is of the
-    same incarnation and has a higher sequence number. Other heartbeats are ignored.
+    same incarnation and has a higher sequence number. Other heartbeats are ignored, and so are
+    those that an incarnation made before it reported its departure.
+
+    A node that is not at its first start may have acknowledged departures before. Until
+    ``restore_departures`` is called, the latest heartbeat is therefore only kept; reports that the
+    upstream leaves take effect at once.
     """
 
     __slots__ = (
+        "_departures",
+        "_held_heartbeat",
         "_service",
-        "_started_at_by_departed_id",
+        "are_departures_known",
         "instance_id",
         "is_serving",
         "latest_heartbeat",
         "on_change",
     )
 
-    def __init__(self, service: str):
+    def __init__(self, service: str, are_departures_known: bool = True):
         self._service = service
-        self._started_at_by_departed_id: dict[str, int | None] = {}
+        self.are_departures_known = are_departures_known
+        self._departures = DepartureLog()
+        self._held_heartbeat: Heartbeat | None = None
         self.latest_heartbeat: Heartbeat | None = None
         self.instance_id = ""
         self.is_serving = False
@@ -44,17 +54,39 @@
         """Return whether a heartbeat of the upstream is known."""
         return self.latest_heartbeat is not None
 
+    @property
+    def departures(self) -> tuple[UpstreamDeparture, ...]:
+        """Return the departures that the node has acknowledged."""
+        return self._departures.departures()
+
     def apply(self, report: Heartbeat | Departure) -> UpstreamChange:
         """Apply a report and return the change that it made."""
         match report:
             case Departure(instance_id=instance_id):
                 change = self._apply_departure(instance_id)
+                # The departure of an unknown incarnation has to be published as well.
+                self.on_change(change)
+                return change
+            case Heartbeat(is_draining=False) if not self.are_departures_known:
+                self._hold(report)
+                return UpstreamChange.NONE
             case Heartbeat():
                 change = self._apply_heartbeat(report)
         if change is not UpstreamChange.NONE:
             self.on_change(change)
         return change
 
+    def restore_departures(self, departures: Iterable[UpstreamDeparture]) -> None:
+        """Take over the departures that an earlier process of the node has acknowledged."""
+        self._departures.restore(departures)
+        self.are_departures_known = True
+        held, self._held_heartbeat = self._held_heartbeat, None
+        if held is not None:
+            self.apply(held)
+        if self.is_serving and self._has_left(self.latest_heartbeat):
+            self.is_serving = False
+            self.on_change(UpstreamChange.GONE)
+
     def handle_misdirected_call(self) -> None:
         """Mark the upstream as gone, because another instance responds at its address."""
         if self.is_serving:
@@ -62,29 +94,27 @@
             self.latest_heartbeat = None
             self.on_change(UpstreamChange.GONE)
 
+    def _hold(self, heartbeat: Heartbeat) -> None:
+        held = self._held_heartbeat
+        if held is None or (heartbeat.started_at, heartbeat.sequence) > (
+            held.started_at,
+            held.sequence,
+        ):
+            self._held_heartbeat = heartbeat
+
     def _apply_departure(self, instance_id: str) -> UpstreamChange:
         is_known = self.latest_heartbeat is not None and instance_id == self.instance_id
-        self._started_at_by_departed_id[instance_id] = (
-            self.latest_heartbeat.started_at if is_known else None
-        )
+        started_at = self.latest_heartbeat.started_at if is_known else None
+        self._departures.record(UpstreamDeparture(instance_id, started_at))
         if not is_known or not self.is_serving:
             return UpstreamChange.NONE
         self.is_serving = False
         return UpstreamChange.GONE
 
-    def _has_departed(self, heartbeat: Heartbeat) -> bool:
-        """Return whether the reporting incarnation has already announced its departure.
-
-        If its start time was unknown at the departure, the first later heartbeat supplies it.
-        """
-        if heartbeat.instance_id not in self._started_at_by_departed_id:
-            return False
-        started_at = self._started_at_by_departed_id[heartbeat.instance_id]
-        if started_at is None:
-            self._started_at_by_departed_id[heartbeat.instance_id] = started_at = (
-                heartbeat.started_at
-            )
-        return heartbeat.started_at <= started_at
+    def _has_left(self, heartbeat: Heartbeat) -> bool:
+        return self._departures.has_left(
+            heartbeat.instance_id, heartbeat.started_at, heartbeat.sequence
+        )
 
     def _apply_heartbeat(self, heartbeat: Heartbeat) -> UpstreamChange:
         if heartbeat.service != self._service or not self._is_newer(heartbeat):
@@ -95,7 +125,11 @@
         was_serving = self.is_serving
         self.latest_heartbeat = heartbeat
         self.instance_id = heartbeat.instance_id
-        self.is_serving = not heartbeat.is_draining and not self._has_departed(heartbeat)
+        self.is_serving = not self._has_left(heartbeat) and not heartbeat.is_draining
+        if heartbeat.is_draining:
+            self._departures.record(
+                UpstreamDeparture(heartbeat.instance_id, heartbeat.started_at, heartbeat.sequence)
+            )
         if self.is_serving:
             return UpstreamChange.STARTED if is_new or not was_serving else UpstreamChange.NONE
         return UpstreamChange.DRAINING if was_serving else UpstreamChange.NONE
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -11,6 +11,7 @@
 from bamboojunction.callers.sockets import listen
 from bamboojunction.conf.addresses import split_address
 from bamboojunction.conf.settings import LinkSettings
+from bamboojunction.core.membership.departures import DepartureRecord, UpstreamDeparture
 from bamboojunction.core.membership.reachability import ConnectFailureTracker
 from bamboojunction.core.membership.ring import Ring
 from bamboojunction.core.membership.view import Announcement, InstanceState, MembershipView
@@ -106,7 +107,9 @@
         self.body_memory = MemoryBudget(int(settings.memory_bytes * BODY_MEMORY_SHARE))
         response_max_bytes = int(self.body_memory.limit_bytes * RESPONSE_MEMORY_SHARE)
         self.pool = UpstreamPool(settings.upstream_address, response_max_bytes, self.body_memory)
-        self.local_upstream = LocalUpstream(settings.service)
+        self.local_upstream = LocalUpstream(
+            settings.service, are_departures_known=settings.is_first_start
+        )
         self.local_upstream.on_change = self._upstream_changed
         sender = UpstreamSender(self.pool, self.current_routes)
         sender.on_misdirected_call = self.local_upstream.handle_misdirected_call
@@ -132,6 +135,7 @@
         )
         self.store_sync.own_instance = settings.instance
         self.store_sync.on_instances_changed = self._instances_changed
+        self.store_sync.on_departures_read = self._restore_departures
         self.link_server = LinkServer(
             identity, LINK_SETTINGS, self._serve_request, _refuse_seal, self.links.handlers
         )
@@ -152,6 +156,7 @@
             self.gate,
             self.events,
             ports,
+            self.store_sync.wait_until_stored,
         )
         addresses = (
             settings.caller_address,
@@ -180,6 +185,8 @@
             asyncio.create_task(run_supervised(name, run, self.events))
             for name, run in coroutine_function_by_name.items()
         ]
+        if not self.settings.is_first_start:
+            self._tasks.append(asyncio.create_task(self.store_sync.read_departures()))
         self.events.started(service=self.settings.service, data_centre=self.settings.data_centre)
 
     async def stop(self) -> None:
@@ -258,6 +265,13 @@
 
     def _upstream_changed(self, change: UpstreamChange) -> None:
         latest = self.local_upstream.latest_heartbeat
+        if change is not UpstreamChange.NONE:
+            self.events.upstream_changed(
+                change.name.lower(),
+                self.local_upstream.instance_id,
+                slots=latest.slots if latest else 0,
+                cold=latest.cold_seconds if latest else 0.0,
+            )
         if change is UpstreamChange.STARTED:
             self._upstream_start_count += 1
             self.pool.close()
@@ -266,11 +280,18 @@
             self.gate.drain()
         self.store_sync.announce(self._announcement())
 
-    def _announcement(self) -> Announcement | None:
-        """Return the announcement of the local upstream, or None if it is not serving."""
-        if not self.local_upstream.is_serving:
-            return None
+    def _restore_departures(self, departures: tuple[UpstreamDeparture, ...]) -> None:
+        if departures:
+            self.events.departures_restored(len(departures))
+        self.local_upstream.restore_departures(departures)
+        if departures and not self.local_upstream.is_serving:
+            self.store_sync.announce(self._announcement())
+
+    def _announcement(self) -> Announcement | DepartureRecord:
+        """Return the announcement of the local upstream, or its departures if it does not serve."""
         settings = self.settings
+        if not self.local_upstream.is_serving:
+            return DepartureRecord(settings.instance, self.local_upstream.departures)
         return Announcement(
             instance=settings.instance,
             incarnation=f"{self._incarnation}/{self._upstream_start_count}",
--- a/bamboojunction/platform_node/store_sync.py
+++ b/bamboojunction/platform_node/store_sync.py
@@ -8,6 +8,11 @@
 import msgspec
 from result import Err, Ok
 
+from bamboojunction.core.membership.departures import (
+    RETENTION_SECONDS,
+    DepartureRecord,
+    UpstreamDeparture,
+)
 from bamboojunction.core.membership.view import ANNOUNCEMENT_COLLECTION, Announcement, InstanceState
 from bamboojunction.core.retries.exponential_backoff import ExponentialBackoff
 from bamboojunction.core.routes import CurrentRoutes
@@ -34,12 +39,16 @@
 # The upstream usually outlived that process, and its first heartbeat replaces the announcement by
 # one write.
 FIRST_HEARTBEAT_SECONDS = 3.0
+# How long a node that has started waits for the departures that an earlier process acknowledged. If
+# the store does not answer by then, the upstream is used all the same.
+READ_DEPARTURES_SECONDS = 3.0
 
 
 class StoreSync:
     """A synchronizer of the node with the store.
 
-    It publishes the announcement of the local upstream, and follows the configuration and the
+    It publishes the announcement of the local upstream, or its departures while it does not serve,
+    and follows the configuration and the
     announcements of all nodes. Only nodes with the role of a store watcher need current answers
     about the configuration; the others learn of changes from peers.
     """
@@ -57,16 +66,24 @@
         self._rng = rng
         self._events = events
         self._loop = asyncio.get_running_loop()
-        self._desired_announcement: Announcement | None = None
+        self._desired: Announcement | DepartureRecord | None = None
         self._stored_version = 0
-        self._stored_announcement: Announcement | None = None
+        self._stored: Announcement | DepartureRecord | None = None
+        self._stored_changed = asyncio.Event()
         self._first_announced = asyncio.Event()
         self._own_announcement_changed = asyncio.Event()
         self._by_instance: dict[str, Announcement] = {}
+        # The versions of all announcements and records of departures in the store, and since when
+        # the records have been known.
         self._version_by_instance: dict[str, int] = {}
+        self._recorded_at_by_instance: dict[str, float] = {}
         self.on_instances_changed: Callable[[dict[str, Announcement]], None] = (
             lambda by_instance: None
         )
+        # Called with the departures that the store holds for this instance.
+        self.on_departures_read: Callable[[tuple[UpstreamDeparture, ...]], None] = (
+            lambda departures: None
+        )
         # Called with the source of each configuration that becomes active: "store" or a peer.
         self.on_configuration_applied: Callable[[str], None] = lambda source: None
         self.own_instance = ""
@@ -160,20 +177,51 @@
         self._by_instance.update((entry.instance, entry) for entry in entries)
         self.on_instances_changed(without_superseded(self._by_instance))
 
+    async def read_departures(self) -> None:
+        """Read which departures an earlier process of this node acknowledged."""
+        backoff = ExponentialBackoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, self._rng)
+        try:
+            async with asyncio.timeout(READ_DEPARTURES_SECONDS):
+                while not await self._read_own_entry():
+                    await asyncio.sleep(backoff.next_delay())
+        except TimeoutError:
+            self._events.departures_unknown()
+            self.on_departures_read(())
+
+    async def wait_until_stored(self, timeout: float) -> bool:
+        """Wait until the store holds what this node announces; return whether it does.
+
+        ``timeout`` is in seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                while self._desired != self._stored:
+                    self._stored_changed.clear()
+                    await self._stored_changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def remove_unreachable(self, find_unreachable: Callable[[], set[str]]) -> None:
-        """Remove announcements at the addresses from ``find_unreachable``, until cancelled."""
+        """Remove announcements at the addresses from ``find_unreachable``, until cancelled.
+
+        Store watchers also remove the records of departures that have been there for long, as the
+        node that wrote them may be gone.
+        """
         while True:
             await asyncio.sleep(UNREACHABLE_CHECK_SECONDS * self._rng.uniform(0.5, 1.5))
             addresses = find_unreachable()
             unreachable_names = [
                 name for name, entry in self._by_instance.items() if entry.address in addresses
             ]
-            for name in unreachable_names:
+            for name in unreachable_names + self._expired_records():
                 await self._remove(name)
+            if self._is_own_record_expired():
+                self.announce(None)
 
-    def announce(self, announcement: Announcement | None) -> None:
-        """Set the announcement that the store should hold for this node; None deletes it."""
-        self._desired_announcement = announcement
+    def announce(self, announcement: Announcement | DepartureRecord | None) -> None:
+        """Set what the store should hold for this node; None deletes it."""
+        self._desired = announcement
         self._first_announced.set()
         self._own_announcement_changed.set()
 
@@ -185,7 +233,7 @@
             await self._own_announcement_changed.wait()
             self._own_announcement_changed.clear()
             backoff = ExponentialBackoff(RETRY_SECONDS_MIN, RETRY_SECONDS_MAX, self._rng)
-            while self._desired_announcement != self._stored_announcement:
+            while self._desired != self._stored:
                 if not await self._write():
                     await asyncio.sleep(backoff.next_delay())
             for name in self._superseded():
@@ -201,12 +249,34 @@
         result = await self._client.delete(ANNOUNCEMENT_COLLECTION, name, version)
         self._events.announcement_removed(name, result.is_ok())
         if result.is_ok():
-            self._by_instance.pop(name, None)
-            self._version_by_instance.pop(name, None)
+            self._forget(name)
+
+    def _forget(self, name: str) -> None:
+        self._by_instance.pop(name, None)
+        self._version_by_instance.pop(name, None)
+        self._recorded_at_by_instance.pop(name, None)
+
+    def _set_stored(self, entry: Announcement | DepartureRecord | None, version: int) -> None:
+        self._stored, self._stored_version = entry, version
+        self._stored_changed.set()
+
+    def _expired_records(self) -> list[str]:
+        if not self._is_store_watcher:
+            return []
+        expired_before = self._loop.time() - 2 * RETENTION_SECONDS
+        return [
+            name
+            for name, recorded_at in self._recorded_at_by_instance.items()
+            if recorded_at < expired_before
+        ]
+
+    def _is_own_record_expired(self) -> bool:
+        recorded_at = self._recorded_at_by_instance.get(self.own_instance)
+        return recorded_at is not None and recorded_at < self._loop.time() - RETENTION_SECONDS
 
     async def _write(self) -> bool:
         """Reconcile this node's announcement by one store call; return whether it succeeded."""
-        desired = self._desired_announcement
+        desired = self._desired
         self._events.store_called(
             ANNOUNCEMENT_COLLECTION, "withdraw" if desired is None else "announce"
         )
@@ -215,7 +285,7 @@
                 ANNOUNCEMENT_COLLECTION, self.own_instance, self._stored_version
             )
             if result.is_ok() or result.err().kind is PlatformErrorKind.NOT_FOUND:
-                self._stored_announcement, self._stored_version = None, 0
+                self._set_stored(None, 0)
                 return True
         else:
             value = msgspec.to_builtins(desired)
@@ -223,24 +293,26 @@
                 ANNOUNCEMENT_COLLECTION, self.own_instance, value, self._stored_version
             )
             if result.is_ok():
-                self._stored_announcement, self._stored_version = desired, result.ok().version
+                self._set_stored(desired, result.ok().version)
                 return True
         error = result.err()
         self._events.announcement_failed(f"{error.kind}: {error.detail}")
         if error.kind is PlatformErrorKind.CONFLICT:
-            return await self._read_own_announcement()
+            return await self._read_own_entry()
         return False
 
-    async def _read_own_announcement(self) -> bool:
+    async def _read_own_entry(self) -> bool:
         """Read what the store holds for this node; return whether the read succeeded."""
         self._events.store_called(ANNOUNCEMENT_COLLECTION, "read")
         match await self._client.get(ANNOUNCEMENT_COLLECTION, self.own_instance):
             case Ok(found):
-                self._stored_version = found.version
-                self._stored_announcement = _decode_announcement(found)
+                entry = _decode_entry(found)
+                self._set_stored(entry, found.version)
+                self.on_departures_read(_departures_in(entry))
                 return True
             case Err(error) if error.kind is PlatformErrorKind.NOT_FOUND:
-                self._stored_announcement, self._stored_version = None, 0
+                self._set_stored(None, 0)
+                self.on_departures_read(())
                 return True
         return False
 
@@ -264,29 +336,39 @@
             self._has_listed_instances = True
             self._by_instance.clear()
             self._version_by_instance.clear()
+            self._recorded_at_by_instance.clear()
         for name in deleted:
-            self._by_instance.pop(name, None)
-            self._version_by_instance.pop(name, None)
+            self._forget(name)
         for item in objects:
-            announcement = _decode_announcement(item)
-            if announcement is None or announcement.instance != item.name:
-                self._events.announcement_rejected(item.name)
-                continue
-            self._by_instance[item.name] = announcement
-            self._version_by_instance[item.name] = item.version
-            if item.name == self.own_instance and item.version > self._stored_version:
-                self._stored_announcement, self._stored_version = announcement, item.version
-        # Another node may delete this node's announcement; _announce then writes it again.
-        if self._stored_announcement is not None and self.own_instance not in self._by_instance:
-            self._stored_announcement, self._stored_version = None, 0
-        if self._desired_announcement != self._stored_announcement or self._superseded():
+            self._apply_entry(item)
+        # Another node may delete this node's entry; _announce then writes it again.
+        if self._stored is not None and self.own_instance not in self._version_by_instance:
+            self._set_stored(None, 0)
+        if self._desired != self._stored or self._superseded():
             self._own_announcement_changed.set()
         self.on_instances_changed(without_superseded(self._by_instance))
 
+    def _apply_entry(self, item: PlatformObject) -> None:
+        entry = _decode_entry(item)
+        if entry is None:
+            self._events.announcement_rejected(item.name)
+            return
+        self._forget(item.name)
+        self._version_by_instance[item.name] = item.version
+        match entry:
+            case Announcement():
+                self._by_instance[item.name] = entry
+            case DepartureRecord():
+                self._recorded_at_by_instance[item.name] = self._loop.time()
+        if item.name == self.own_instance and item.version > self._stored_version:
+            self._set_stored(entry, item.version)
+            if isinstance(entry, DepartureRecord):
+                self.on_departures_read(entry.departures)
+
     def _superseded(self) -> list[str]:
         """Return the other instances announced at this node's address; they no longer exist."""
-        own = self._desired_announcement
-        if own is None:
+        own = self._desired
+        if not isinstance(own, Announcement):
             return []
         return [
             name
@@ -305,9 +387,20 @@
     return {entry.instance: entry for entry in latest.values()}
 
 
-def _decode_announcement(item: PlatformObject) -> Announcement | None:
+def _decode_entry(item: PlatformObject) -> Announcement | DepartureRecord | None:
+    """Return the announcement or the record of departures in an object, or None if it is neither.
+
+    Other writers may leave any object in the collection.
+    """
+    is_record = item.value.get("state") == InstanceState.GONE
     try:
-        found = msgspec.convert(item.value, Announcement)
+        entry = msgspec.convert(item.value, DepartureRecord if is_record else Announcement)
     except msgspec.ValidationError:
         return None
-    return None if found.state is InstanceState.GONE else found
+    return entry if entry.instance == item.name else None
+
+
+def _departures_in(
+    entry: Announcement | DepartureRecord | None,
+) -> tuple[UpstreamDeparture, ...]:
+    return entry.departures if isinstance(entry, DepartureRecord) else ()
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -132,6 +132,18 @@
         """Log a state change of the upstream beside this node."""
         self._emit("upstream.changed", True, change=change, id=instance_id, **fields)
 
+    def departures_restored(self, count: int) -> None:
+        """Log the number of departures that an earlier process of this node acknowledged."""
+        self._emit("upstream.departures", True, count=count)
+
+    def departures_unknown(self) -> None:
+        """Log that the store did not tell in time which departures were acknowledged."""
+        self._emit("upstream.departures_unknown", True)
+
+    def departure_not_stored(self, instance_id: str) -> None:
+        """Log that a departure is acknowledged that the store does not hold yet."""
+        self._emit("upstream.departure_not_stored", True, id=instance_id)
+
     def upstream_report_rejected(self, method: str, path: str, problem: str) -> None:
         """Log that an invalid report from an upstream was rejected."""
         self._emit("upstream.report_refused", True, method=method, path=path, problem=problem)
--- a/tests/platform_node/fleet.py
+++ b/tests/platform_node/fleet.py
@@ -115,6 +115,12 @@
         self.node = PlatformNode(self.settings, self.log_descriptor)
         await self.node.start()
 
+    async def restart_node(self) -> None:
+        """End the node at once, and start it again; its upstream keeps running."""
+        await self.node.close()
+        self.node = PlatformNode(self.settings, self.log_descriptor)
+        await self.node.start()
+
     async def close(self) -> None:
         await self.node.close()
         await self.upstream.close()
@@ -178,6 +184,12 @@
         async with self.session.put(url, json=body) as response:
             return response.status
 
+    async def send_departure(self, name: str) -> int:
+        machine = self.machines[name]
+        url = f"http://{machine.settings.report_address}/instances/{machine.upstream.instance_id}"
+        async with self.session.delete(url) as response:
+            return response.status
+
     async def join(self) -> None:
         """Send a heartbeat from each upstream, and wait until every node knows all instances."""
         for name in self.machines:
--- a/tests/platform_node/test_local_upstream.py
+++ b/tests/platform_node/test_local_upstream.py
@@ -5,6 +5,7 @@
 
 import unittest
 
+from bamboojunction.core.membership.departures import UpstreamDeparture
 from bamboojunction.platform.heartbeats import Departure, Heartbeat
 from bamboojunction.platform_node.local_upstream import LocalUpstream, UpstreamChange
 
@@ -77,3 +78,40 @@
         change = self.local_upstream.apply(heartbeat("i-2", started_at=200, draining=True))
         self.assertIs(change, UpstreamChange.DRAINING)
         self.assertFalse(self.local_upstream.is_serving)
+
+
+class RestartedNodeTests(unittest.TestCase):
+    """A node that starts again trusts no heartbeat before it knows the earlier departures."""
+
+    def setUp(self):
+        self.local_upstream = LocalUpstream("menu", are_departures_known=False)
+
+    def test_heartbeat_takes_effect_once_the_departures_are_known(self):
+        self.assertIs(self.local_upstream.apply(heartbeat(sequence=2)), UpstreamChange.NONE)
+        self.assertIs(self.local_upstream.apply(heartbeat(sequence=1)), UpstreamChange.NONE)
+        self.assertFalse(self.local_upstream.is_serving)
+        self.local_upstream.restore_departures(())
+        self.assertTrue(self.local_upstream.is_serving)
+        self.assertEqual(self.local_upstream.latest_heartbeat.sequence, 2)
+
+    def test_late_heartbeat_of_a_departed_upstream_changes_nothing(self):
+        self.local_upstream.apply(heartbeat())
+        self.local_upstream.restore_departures([UpstreamDeparture("i-1", 100)])
+        self.assertFalse(self.local_upstream.is_serving)
+        self.local_upstream.apply(heartbeat(sequence=3))
+        self.assertFalse(self.local_upstream.is_serving)
+
+    def test_departure_while_the_earlier_ones_are_unknown_takes_effect(self):
+        self.local_upstream.apply(heartbeat())
+        self.local_upstream.apply(Departure("i-1"))
+        self.local_upstream.restore_departures(())
+        self.assertFalse(self.local_upstream.is_serving)
+
+    def test_departures_that_are_read_late_end_an_upstream_in_use(self):
+        self.local_upstream.restore_departures(())
+        self.local_upstream.apply(heartbeat())
+        changes = []
+        self.local_upstream.on_change = changes.append
+        self.local_upstream.restore_departures([UpstreamDeparture("i-1", 100, 1)])
+        self.assertEqual(changes, [UpstreamChange.GONE])
+        self.assertFalse(self.local_upstream.is_serving)
--- a/tests/platform_node/test_path.py
+++ b/tests/platform_node/test_path.py
@@ -1,12 +1,14 @@
 """Requests through complete platform nodes, with a stand-in store and stand-in upstreams."""
 
 import asyncio
+import itertools
 import unittest
 from dataclasses import replace
 from unittest import mock
 
 from result import Err, Ok
 
+from bamboo_standins.platform import StoreFaults
 from bamboojunction.core.admission.breaker import PROBE_INTERVAL_SECONDS
 from bamboojunction.core.load_reports import AdmissionLevel, LoadReport, RankFraction
 from bamboojunction.core.outcomes import NotRun, NotRunReason
@@ -208,6 +210,36 @@
             self.assertEqual(status, 200)
         self.assertEqual(len(self.upstream("a").executed), before)
 
+    async def test_departed_upstream_stays_out_of_use_after_its_node_restarted(self):
+        """A restarted node took a late heartbeat for that of a new upstream."""
+        await self.configure_and_join()
+        for leave in (
+            lambda: self.fleet.send_heartbeat("a", "draining"),
+            lambda: self.fleet.send_departure("a"),
+        ):
+            machine = self.fleet.machines["a"]
+            late_sequence = next(machine.sequence)
+            self.assertEqual(await leave(), 200)
+            await machine.restart_node()
+            machine.sequence = itertools.chain([late_sequence], machine.sequence)
+            self.assertEqual(await self.fleet.send_heartbeat("a"), 200)
+            local_upstream = machine.node.local_upstream
+            await self.fleet.wait_until(lambda found=local_upstream: found.are_departures_known)
+            self.assertFalse(local_upstream.is_serving)
+
+    async def test_upstream_that_outlives_its_node_serves_again(self):
+        await self.configure_and_join()
+        machine = self.fleet.machines["a"]
+        await machine.restart_node()
+        await self.fleet.send_heartbeat("a")
+        await self.fleet.wait_until(lambda: machine.node.local_upstream.is_serving)
+
+    async def test_departure_is_acknowledged_and_binds_while_the_store_is_down(self):
+        await self.configure_and_join()
+        await self.fleet.platform.set_faults(StoreFaults(refuse_status=503))
+        self.assertEqual(await self.fleet.send_departure("a"), 200)
+        self.assertFalse(self.fleet.machines["a"].node.local_upstream.is_serving)
+
     async def test_stopping_node_serves_at_its_gate_until_its_callers_left(self):
         await self.configure_and_join()
         stopping = asyncio.create_task(self.fleet.machines["c"].node.stop())
