Left repeats of written requests to the router

What callers saw: reads whose answers were lost were repeated outside the fleet's retry limit, and a read that crashed its upstream ran at more upstreams than its attempts allow. Cause: the connection pool sent an idempotent request again after a reused connection had closed, and reported 'not sent' if the second connection was refused, though the first had carried the request.

--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -46,10 +46,7 @@
         self.on_misdirected_call = lambda: None
 
     async def send(self, call: Call, headers: list[tuple[str, str]]) -> UpstreamResult:
-        """Send a call and read the whole response, at most until the call's deadline.
-
-        An idempotent call may be sent again if a reused connection turns out to be closed.
-        """
+        """Send a call and read the whole response, at most until the call's deadline."""
         # The event loop's clock may have a resolution of only one millisecond.
         started = time.monotonic()
         is_idempotent = self._current_routes.row(call.kind).effect is Effect.IDEMPOTENT
--- a/bamboojunction/upstreams/pool.py
+++ b/bamboojunction/upstreams/pool.py
@@ -58,17 +58,14 @@
         """Send a request and return its response, the first that ``match_response`` accepts.
 
         ``deadline`` is in seconds on the event loop's clock; it is the latest time at which the
-        exchange ends. An idempotent request is sent again on a new connection if a reused one
-        turns out to be closed; any other request reuses a connection only shortly after its last
-        response.
+        exchange ends. A request that was written is never sent again here, as the upstream may have
+        run it: whether it is repeated is for the caller to decide, within its limits. A request
+        that is not idempotent reuses a connection only shortly after its last response.
         """
         connection = self._take_idle(is_idempotent)
         if connection is not None:
             result = await self._exchange_on(connection, request, match_response, deadline)
-            if result is ExchangeFailure.NOT_SENT:
-                # Nothing was sent: use a new connection.
-                pass
-            elif result is not ExchangeFailure.CLOSED or not is_idempotent:
+            if result is not ExchangeFailure.NOT_SENT:
                 return result
         connection = await self._connect(deadline)
         if connection is None:
--- a/tests/platform_node/test_path.py
+++ b/tests/platform_node/test_path.py
@@ -13,6 +13,7 @@
 from bamboojunction.core.load_reports import AdmissionLevel, LoadReport, RankFraction
 from bamboojunction.core.outcomes import NotRun, NotRunReason
 from bamboojunction.core.pause_detector import PAUSE_CHECK_INTERVAL_SECONDS
+from bamboojunction.core.retries.fleet_budget import FleetRetryBudget
 from bamboojunction.platform_node.process import CALLER_DRAIN_SECONDS, PlatformNode
 from tests.platform_node.fleet import PlatformFleet, configuration, route
 
@@ -180,6 +181,31 @@
         statuses = [(await self.fleet.request("a", "/menu/x"))[0] for _ in range(10)]
         self.assertEqual(set(statuses), {200})
 
+    async def test_lost_responses_of_reads_are_repeated_within_the_retry_budget(self):
+        """Lost responses were repeated at the same upstream outside the fleet's retry limit."""
+        await self.configure_and_join()
+        requests = 40
+        for _ in range(requests):
+            await self.fleet.request("c", "/menu/x")
+        for name in ("a", "b"):
+            self.upstream(name).executed.clear()
+            self.upstream(name).drops_responses = True
+        granted = [True] * 3 + [False] * requests
+        with mock.patch.object(FleetRetryBudget, "spend", side_effect=granted):
+            for number in range(requests):
+                status, _, _ = await self.fleet.request("c", f"/menu/{number}")
+                self.assertEqual(status, 502)
+        arrivals = len(self.upstream("a").executed) + len(self.upstream("b").executed)
+        self.assertLessEqual(arrivals, requests + 3)
+
+    async def test_read_whose_response_was_lost_is_served_by_another_instance(self):
+        await self.configure_and_join()
+        for _ in range(10):
+            await self.fleet.request("c", "/menu/x")
+        self.upstream("a").drops_responses = True
+        statuses = [(await self.fleet.request("c", f"/menu/{n}"))[0] for n in range(10)]
+        self.assertEqual(set(statuses), {200})
+
     async def test_retry_is_not_shed_at_the_edge(self):
         await self.configure_and_join()
         self.upstream("a").status = self.upstream("b").status = 500
--- a/tests/platform_node/test_upstream_connection.py
+++ b/tests/platform_node/test_upstream_connection.py
@@ -130,14 +130,24 @@
         result = await self.exchange_once(b"HTTP/1.1 100 Continue\r\n\r\n" + COMPLETE_RESPONSE)
         self.assertEqual((result.status, result.body), (200, b"ok"))
 
-    async def test_idempotent_request_is_sent_again_when_a_reused_connection_was_closed(self):
-        upstream = ScriptedUpstream(COMPLETE_RESPONSE, at_end="close")
+    async def test_request_whose_reused_connection_was_closed_is_not_sent_again(self):
+        """Repeats below the gate were outside the retry budget and the route's attempts."""
+        upstream = ScriptedUpstream(COMPLETE_RESPONSE, b"", at_end="close")
         pool = await self.start_pool(upstream)
         await pool.exchange(REQUEST, is_idempotent=True)
         result = await pool.exchange(REQUEST, is_idempotent=True)
-        self.assertEqual(result.status, 200)
+        self.assertIs(result, ExchangeFailure.CLOSED)
         self.assertEqual(upstream.requests, 2)
 
+    async def test_request_that_reached_an_upstream_which_then_ended_was_sent(self):
+        """A request that crashed its upstream was reported as not sent, and moved on for free."""
+        upstream = ScriptedUpstream(COMPLETE_RESPONSE, b"", at_end="close")
+        pool = await self.start_pool(upstream)
+        await pool.exchange(REQUEST, is_idempotent=True)
+        with mock.patch.object(UpstreamPool, "_connect", return_value=None):
+            result = await pool.exchange(REQUEST, is_idempotent=True)
+        self.assertIs(result, ExchangeFailure.CLOSED)
+
     async def test_lost_response_of_a_non_idempotent_request_is_never_sent_again(self):
         upstream = ScriptedUpstream(b"", at_end="close")
         pool = await self.start_pool(upstream)
