Banned requests that crash their upstreams on the platform

What callers saw: each copy of a request that crashes its upstreams ended a whole service, and what other clients had in work there was lost. Cause: the gate of the node on the platform reported no crash to the poison guard and gave it a fingerprint that no two copies share. Ruled out: the ban itself and its messages, which the product's own node uses. Change: a connection that breaks is followed by a new one; if the upstream refuses it, it has crashed. Gates exchange findings, and send the bans in force to nodes that join. Suspects run like other calls; a second crash bans a request only if it is the only one that both had in flight, a third in any case. The tests through whole nodes failed before (no ban, both upstreams hit by each copy).

--- a/bamboojunction/core/poison/fingerprints.py
+++ b/bamboojunction/core/poison/fingerprints.py
@@ -6,10 +6,13 @@
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 
 
-def fingerprint_of(kind: str, method: str, path: str, body: bytes) -> int:
-    """Return a hash of a request, which is the same at every node."""
+def fingerprint_of(kind: str, method: str, path: str, body: bytes, caller: str = "") -> int:
+    """Return a hash of a request, which is the same at every node.
+
+    ``caller`` is the service that sent the request, or empty if that is not known.
+    """
     digest = xxhash.xxh3_64()
-    for part in (kind.encode(), method.encode(), path.encode()):
+    for part in (kind.encode(), method.encode(), path.encode(), caller.encode()):
         digest.update(len(part).to_bytes(4, "big"))
         digest.update(part)
     digest.update(body)
--- a/bamboojunction/core/poison/guard.py
+++ b/bamboojunction/core/poison/guard.py
@@ -21,6 +21,8 @@
 __all__ = ["Ban", "PoisonGuard", "fingerprint_of"]
 
 CRASHES_TO_BAN = 2
+# A guard that does not isolate suspects bans all requests that were in flight at this many crashes.
+CRASHES_TO_BAN_TOGETHER = 3
 BAN_SECONDS = 300.0
 SUSPICION_SECONDS = 60.0
 # Connections that break within this time after a crash count as part of it.
@@ -58,6 +60,10 @@
     (its connection broke) or ``record_abandoned``. It sends the findings that these return to all
     nodes of the service, and passes the findings of other nodes to ``apply_finding``. When a call
     that was answered ``RunIsolated`` is not started after all, the driver calls ``release``.
+
+    Without ``isolates_suspects`` suspects run like any other call, as a delay costs more than the
+    crash of one more upstream. A second crash then bans a request only if no other was in flight at
+    both, and a third one bans all that were in flight at the three.
     """
 
     __slots__ = (
@@ -68,12 +74,14 @@
         "_incarnation",
         "_instance",
         "_isolated_fingerprint",
+        "_isolates_suspects",
         "_last_crash_at",
         "_last_crash_id",
         "_suspects_by_fingerprint",
     )
 
-    def __init__(self, instance: str = "", incarnation: str = ""):
+    def __init__(self, instance: str = "", incarnation: str = "", isolates_suspects: bool = True):
+        self._isolates_suspects = isolates_suspects
         self._instance = instance
         self._incarnation = incarnation
         self._crash_numbers = itertools.count(1)
@@ -97,7 +105,7 @@
             ban = self._bans_by_fingerprint[fingerprint]
             return RefuseSuspect(NotRun(NotRunReason.POISONED, ban.expires_at - now))
         suspect = self._active_suspect(fingerprint, now)
-        if suspect is None:
+        if suspect is None or not self._isolates_suspects:
             return RunNormally()
         if not may_run_suspect(fingerprint):
             retry_after = max(0.0, suspect.hold_until - now)
@@ -113,7 +121,7 @@
         """Return a refusal if a call became a suspect or was banned while it waited for a slot."""
         if self.is_banned(fingerprint, now):
             return NotRun(NotRunReason.POISONED)
-        if not is_isolated and self.is_suspect(fingerprint, now):
+        if self._isolates_suspects and not is_isolated and self.is_suspect(fingerprint, now):
             return NotRun(NotRunReason.QUARANTINED)
         return None
 
@@ -181,7 +189,11 @@
                 if self._completed_recently(fingerprint, now):
                     return [Clearance(fingerprint)]
                 suspect = self._add_suspicion(finding)
-                if len(suspect.crashes) < CRASHES_TO_BAN:
+                # The other suspects of the crash are known to the guard that saw it.
+                crashes_to_ban = (
+                    CRASHES_TO_BAN if self._isolates_suspects else CRASHES_TO_BAN_TOGETHER
+                )
+                if len(suspect.crashes) < crashes_to_ban:
                     return []
                 return self._ban_repeat_suspects([_RunningCall(fingerprint, now, False)], now)
 
@@ -253,6 +265,12 @@
         When one of them ran in isolation, only that one is banned.
         """
         repeated = [call for call in calls if self._crash_count(call.fingerprint) >= CRASHES_TO_BAN]
+        if not self._isolates_suspects and len({call.fingerprint for call in repeated}) > 1:
+            repeated = [
+                call
+                for call in repeated
+                if self._crash_count(call.fingerprint) >= CRASHES_TO_BAN_TOGETHER
+            ]
         isolated = [call for call in repeated if call.is_isolated]
         to_ban = {call.fingerprint for call in isolated or repeated}
         findings: list[Finding] = []
--- a/bamboojunction/core/routing/ejection.py
+++ b/bamboojunction/core/routing/ejection.py
@@ -58,7 +58,9 @@
             return HealthSignal.DRAINING
         case NotRun(reason=NotRunReason.UNREACHABLE):
             return HealthSignal.CONNECTION_FAILED
-        case NotRun(reason=NotRunReason.CANCELLED | NotRunReason.NO_UPSTREAM):
+        case NotRun(
+            reason=NotRunReason.CANCELLED | NotRunReason.NO_UPSTREAM | NotRunReason.POISONED
+        ):
             return HealthSignal.NONE
         case NotRun():
             return HealthSignal.REFUSED
--- a/bamboojunction/node/gate.py
+++ b/bamboojunction/node/gate.py
@@ -187,16 +187,15 @@
         running_call = self._running_calls.start(call)
         self._guard.record_start(ticket.ticket_id, fingerprint, self._loop.time())
         completion_status = CompletionStatus.CANCELLED
-        outcome: Outcome | None = None
+        reply: UpstreamResult | None = None
         seconds = 0.0
         try:
             reply = await self._client.send(call, self._upstream_headers(running_call))
             completion_status = reply.service_end
-            outcome = reply.outcome
             seconds = reply.service_seconds
         finally:
             allowance_left = self._running_calls.end(running_call)
-            self._report_end_to_guard(ticket.ticket_id, outcome)
+            self._report_end_to_guard(ticket.ticket_id, reply)
             self._finish(ticket.ticket_id, completion_status, seconds)
         return self._reply(call, reply, allowance_left)
 
@@ -214,20 +213,26 @@
             headers.append(("traceparent", call.traceparent))
         return headers
 
-    def _report_end_to_guard(self, ticket_id: int, outcome: Outcome | None) -> None:
+    def _report_end_to_guard(self, ticket_id: int, reply: UpstreamResult | None) -> None:
         """Tell the poison guard whether the call completed, crashed the upstream or neither."""
         now = self._loop.time()
         findings: list[Finding] = []
-        match outcome:
-            case Ran():
-                findings = self._guard.record_completion(ticket_id, now)
-            case Unknown(reason=UnknownReason.LOST_UPSTREAM | UnknownReason.TRUNCATED):
-                findings = self._guard.record_crash(ticket_id, now)
-            case _:
-                self._guard.record_abandoned(ticket_id)
+        if reply is not None and self._shows_crash(reply):
+            findings = self._guard.record_crash(ticket_id, now)
+        elif reply is not None and isinstance(reply.outcome, Ran):
+            findings = self._guard.record_completion(ticket_id, now)
+        else:
+            self._guard.record_abandoned(ticket_id)
         if findings:
             self.on_findings(findings)
 
+    def _shows_crash(self, reply: UpstreamResult) -> bool:
+        """Return whether a result is evidence that the upstream crashed."""
+        match reply.outcome:
+            case Unknown(reason=UnknownReason.LOST_UPSTREAM | UnknownReason.TRUNCATED):
+                return True
+        return False
+
     def _finish(self, ticket_id: int, completion_status: CompletionStatus, seconds: float) -> None:
         self._apply_decisions(
             self._admission.finish(ticket_id, completion_status, seconds, self._loop.time())
--- a/bamboojunction/node/poison_broadcaster.py
+++ b/bamboojunction/node/poison_broadcaster.py
@@ -58,6 +58,15 @@
             for message in messages:
                 self._links.send(peer.address, message)
 
+    def send_bans(self, instance: str) -> None:
+        """Send the bans in force to an instance of the service that has just joined."""
+        now = self._loop.time()
+        announcement = self._view.by_instance.get(instance)
+        if announcement is None or announcement.service != self._service:
+            return
+        for message in to_messages(list(self._guard.bans(now)), now):
+            self._links.send(announcement.address, message)
+
     def _handle_message(self, peer: str, message: AnyMessage) -> None:
         now = self._loop.time()
         for finding in to_findings(message, now):
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -16,6 +16,7 @@
     Unknown,
     UnknownReason,
 )
+from bamboojunction.core.poison.fingerprints import fingerprint_of
 from bamboojunction.core.poison.guard import PoisonGuard
 from bamboojunction.core.retries.forwarding import SERVER_ERROR_STATUS
 from bamboojunction.core.routes import CurrentRoutes
@@ -58,7 +59,11 @@
             call.deadline,
         )
         outcome, completion_status = self._interpret_response(call, response)
-        return UpstreamResult(outcome, completion_status, time.monotonic() - started)
+        seconds = time.monotonic() - started
+        # A connection may also be reset while the upstream goes on.
+        is_broken = response in (ExchangeFailure.CLOSED, ExchangeFailure.TRUNCATED)
+        is_crash_seen = is_broken and await self._pool.refuses_connections()
+        return UpstreamResult(outcome, completion_status, seconds, is_crash_seen)
 
     def _interpret_response(
         self, call: Call, response: RawResponse | ExchangeFailure
@@ -118,12 +123,13 @@
         local_upstream: LocalUpstream,
         service: str,
         events: EventLog,
+        guard: PoisonGuard | None = None,
     ):
         super().__init__(
             AdmissionController(INITIAL_SLOTS),
             client,
             current_routes,
-            PoisonGuard(),
+            guard or PoisonGuard(isolates_suspects=False),
             # The upstream is not told the token of a call here, so it need not be random.
             RunningCalls(create_token=map(str, itertools.count()).__next__),
         )
@@ -173,7 +179,13 @@
         refusal = self._chain_refusal(call)
         if refusal is not None:
             return self._refusal_reply(call, refusal)
-        return await self._serve_admitted(call, hash(call.action), False)
+        fingerprint = fingerprint_of(
+            call.kind, call.method, call.path, call.body, call.caller_service
+        )
+        refusal = await self._wait_for_guard(call, fingerprint)
+        if refusal is not None:
+            return self._refusal_reply(call, refusal)
+        return await self._serve_admitted(call, fingerprint, False)
 
     def _chain_refusal(self, call: Call) -> NotRun | None:
         """Refuse a call at the top of its chain if a service below would shed the chain.
@@ -218,12 +230,8 @@
                 return replace(reply, outcome=replace(reply.outcome, failed_below=True))
         return reply
 
-    def _report_end_to_guard(self, ticket_id: int, outcome: Outcome | None) -> None:
-        """Record that the call neither completed nor crashed the upstream.
-
-        Requests here differ only in their ids, so no crash can be attributed to a fingerprint.
-        """
-        self._guard.record_abandoned(ticket_id)
+    def _shows_crash(self, reply: UpstreamResult) -> bool:
+        return reply.is_crash_seen
 
     def _upstream_headers(self, running: RunningCall) -> list[tuple[str, str]]:
         call = running.call
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -22,6 +22,8 @@
     PAUSE_MIN_SECONDS,
     PauseDetector,
 )
+from bamboojunction.core.poison.decisions import Ban, Finding, Suspicion
+from bamboojunction.core.poison.guard import PoisonGuard
 from bamboojunction.core.retries.fleet_budget import RetryLimit
 from bamboojunction.core.routes import CurrentRoutes
 from bamboojunction.core.routing.router import Router
@@ -31,6 +33,7 @@
 from bamboojunction.links.pool import LinkPool
 from bamboojunction.links.replies import GateReply
 from bamboojunction.links.server import LinkServer
+from bamboojunction.node.poison_broadcaster import PoisonBroadcaster
 from bamboojunction.platform.http_client import HttpPlatformClient
 from bamboojunction.platform.node_settings import PlatformNodeSettings
 from bamboojunction.platform_node.app import (
@@ -113,9 +116,19 @@
         self.local_upstream.on_change = self._upstream_changed
         sender = UpstreamSender(self.pool, self.current_routes)
         sender.on_misdirected_call = self.local_upstream.handle_misdirected_call
+        guard = PoisonGuard(settings.instance, self._incarnation, isolates_suspects=False)
         self.gate = PlatformNodeGate(
-            sender, self.current_routes, self.local_upstream, settings.service, self.events
+            sender,
+            self.current_routes,
+            self.local_upstream,
+            settings.service,
+            self.events,
+            guard,
         )
+        self._poison_broadcaster = PoisonBroadcaster(
+            settings.instance, settings.service, guard, self.view, self.links
+        )
+        self.gate.on_findings = self._report_findings
         self.forwarder = Forwarder(
             settings.instance,
             self.router,
@@ -280,6 +293,13 @@
             self.gate.drain()
         self.store_sync.announce(self._announcement())
 
+    def _report_findings(self, findings: list[Finding]) -> None:
+        banned = [finding.fingerprint for finding in findings if isinstance(finding, Ban)]
+        suspected = sum(isinstance(finding, Suspicion) for finding in findings)
+        if banned or suspected:
+            self.events.upstream_crashed(suspected, banned)
+        self._poison_broadcaster.broadcast(findings)
+
     def _restore_departures(self, departures: tuple[UpstreamDeparture, ...]) -> None:
         if departures:
             self.events.departures_restored(len(departures))
@@ -325,6 +345,9 @@
         self.store_sync.set_store_watcher(self._ring.watches_platform(self.settings.instance))
         for service in self.view.pop_changed_services():
             self.router.update_instances(service, self.view.serving(service))
+        for name in joined:
+            if name != self.settings.instance:
+                self._poison_broadcaster.send_bans(name)
         self.events.instances_changed(joined, left, len(by_instance))
 
     async def _serve_request(self, request: CallRequest) -> GateReply:
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -132,6 +132,15 @@
         """Log a state change of the upstream beside this node."""
         self._emit("upstream.changed", True, change=change, id=instance_id, **fields)
 
+    def upstream_crashed(self, suspected: int, banned: list[int]) -> None:
+        """Log a crash of the upstream, the number of its suspects and the requests it bans."""
+        self._emit(
+            "upstream.crashed",
+            True,
+            suspected=suspected,
+            banned=",".join(f"{fingerprint:016x}" for fingerprint in banned),
+        )
+
     def departures_restored(self, count: int) -> None:
         """Log the number of departures that an earlier process of this node acknowledged."""
         self._emit("upstream.departures", True, count=count)
--- a/bamboojunction/upstreams/client.py
+++ b/bamboojunction/upstreams/client.py
@@ -45,12 +45,14 @@
 class UpstreamResult:
     """The result of sending a call to the upstream.
 
-    ``service_seconds`` is the time from sending the call to the end of the response.
+    ``service_seconds`` is the time from sending the call to the end of the response. With
+    ``is_crash_seen`` the upstream took no connection after the call's own had broken.
     """
 
     outcome: Outcome
     service_end: CompletionStatus
     service_seconds: float
+    is_crash_seen: bool = False
 
 
 class UpstreamClient:
--- a/bamboojunction/upstreams/pool.py
+++ b/bamboojunction/upstreams/pool.py
@@ -25,6 +25,8 @@
 IDLE_SECONDS_MAX = 4.0
 # A connection fails when sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 3_000
+# An upstream on the same machine takes or refuses a connection within this time.
+PROBE_TIMEOUT_SECONDS = 0.1
 
 
 class UpstreamPool:
@@ -72,6 +74,22 @@
             return ExchangeFailure.NOT_SENT
         return await self._exchange_on(connection, request, match_response, deadline)
 
+    async def refuses_connections(self) -> bool:
+        """Return whether the upstream refuses a new connection, as it does after it ended.
+
+        A connection that it takes is kept for the next request.
+        """
+        timeout_at = self._loop.time() + PROBE_TIMEOUT_SECONDS
+        try:
+            connection = await self._open(timeout_at)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        connection.idle_since = self._loop.time()
+        self._idle.append(connection)
+        return False
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
@@ -116,16 +134,18 @@
         )
 
     async def _connect(self, deadline: float) -> UpstreamConnection | None:
-        timeout_at = min(deadline, self._loop.time() + CONNECT_TIMEOUT_SECONDS)
         try:
-            async with asyncio.timeout_at(timeout_at):
-                transport, connection = await self._loop.create_connection(
-                    lambda: UpstreamConnection(self._body_max_bytes, self._memory),
-                    self._host,
-                    self._port,
-                )
+            return await self._open(min(deadline, self._loop.time() + CONNECT_TIMEOUT_SECONDS))
         except (OSError, TimeoutError):
             return None
+
+    async def _open(self, timeout_at: float) -> UpstreamConnection:
+        async with asyncio.timeout_at(timeout_at):
+            transport, connection = await self._loop.create_connection(
+                lambda: UpstreamConnection(self._body_max_bytes, self._memory),
+                self._host,
+                self._port,
+            )
         self.opened_count += 1
         raw_socket = transport.get_extra_info("socket")
         raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
--- a/tests/platform_node/fleet.py
+++ b/tests/platform_node/fleet.py
@@ -51,14 +51,16 @@
         # While set, all requests are refused as not executed.
         self.is_refusing = False
         self.refused = 0
+        # The upstream ends as soon as it runs a request with this path.
+        self.crash_path = ""
 
     async def start(self, host: str) -> str:
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._handle)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, 0)
-        await site.start()
+        self._site = web.TCPSite(self._runner, host, 0)
+        await self._site.start()
         return f"{host}:{self._runner.addresses[0][1]}"
 
     async def close(self) -> None:
@@ -74,6 +76,9 @@
             return web.Response(status=503, headers=headers | {"Bamboojunction-Not-Executed": "1"})
         self.executed.append(request_id)
         self.headers.append(request.headers.copy())
+        if request.path == self.crash_path:
+            await self._site.stop()
+            request.transport.abort()
         await self.may_respond.wait()
         if self.drops_responses:
             request.transport.abort()
--- a/tests/platform_node/test_path.py
+++ b/tests/platform_node/test_path.py
@@ -13,6 +13,7 @@
 from bamboojunction.core.load_reports import AdmissionLevel, LoadReport, RankFraction
 from bamboojunction.core.outcomes import NotRun, NotRunReason
 from bamboojunction.core.pause_detector import PAUSE_CHECK_INTERVAL_SECONDS
+from bamboojunction.core.poison.decisions import Ban
 from bamboojunction.core.retries.fleet_budget import FleetRetryBudget
 from bamboojunction.platform_node.process import CALLER_DRAIN_SECONDS, PlatformNode
 from tests.platform_node.fleet import PlatformFleet, configuration, route
@@ -206,6 +207,39 @@
         statuses = [(await self.fleet.request("c", f"/menu/{n}"))[0] for n in range(10)]
         self.assertEqual(set(statuses), {200})
 
+    async def test_request_that_crashes_its_upstreams_is_banned_after_two_crashes(self):
+        """Each copy of such a request ended all upstreams of its service."""
+        await self.configure_and_join()
+        for name in ("a", "b"):
+            self.upstream(name).crash_path = "/menu/crash"
+        self.assertEqual((await self.fleet.request("c", "/menu/crash"))[0], 502)
+        nodes = [self.fleet.machines[name].node for name in ("a", "b")]
+        now = asyncio.get_running_loop().time()
+        await self.fleet.wait_until(lambda: all(node.gate._guard.bans(now) for node in nodes))
+        status, headers, text = await self.fleet.request("c", "/menu/crash")
+        self.assertEqual((status, text), (503, "poisoned\n"))
+        self.assertGreater(float(headers["Retry-After"]), 1.0)
+
+    async def test_node_that_starts_again_learns_the_bans_in_force(self):
+        await self.configure_and_join()
+        loop = asyncio.get_running_loop()
+        ban = Ban(7, loop.time() + 60.0)
+        self.fleet.machines["b"].node.gate._guard.apply_finding(ban, loop.time())
+        restarted = self.fleet.machines["a"]
+        await restarted.restart_node()
+        await self.fleet.send_heartbeat("a")
+        await self.fleet.wait_until(lambda: restarted.node.gate._guard.bans(loop.time()))
+
+    async def test_lost_response_is_no_crash(self):
+        await self.configure_and_join()
+        for name in ("a", "b"):
+            self.upstream(name).drops_responses = True
+        for _ in range(5):
+            self.assertEqual((await self.fleet.request("c", "/menu/x"))[0], 502)
+        for name in ("a", "b"):
+            guard = self.fleet.machines[name].node.gate._guard
+            self.assertEqual(guard._suspects_by_fingerprint, {})
+
     async def test_retry_is_not_shed_at_the_edge(self):
         await self.configure_and_join()
         self.upstream("a").status = self.upstream("b").status = 500
--- a/tests/poison/test_guard.py
+++ b/tests/poison/test_guard.py
@@ -1,5 +1,6 @@
 """The poison guard bans requests that crash upstreams, and clears the other suspects."""
 
+import itertools
 import unittest
 
 from bamboojunction.core.outcomes import NotRunReason
@@ -207,6 +208,51 @@
         self.assertEqual(set(names), {quarantine_instance(f, names) for f in range(100)})
 
 
+class GuardWithoutIsolationTests(unittest.TestCase):
+    """Suspects run like other calls; the requests that a crash leaves behind must not be banned."""
+
+    def setUp(self):
+        self.guards = [PoisonGuard(name, isolates_suspects=False) for name in "abc"]
+        self.tickets = itertools.count(1)
+
+    def crash(self, number: int, fingerprints: list[int], now: float) -> None:
+        tickets = [next(self.tickets) for _ in fingerprints]
+        for ticket, fingerprint in zip(tickets, fingerprints, strict=True):
+            self.guards[number].record_start(ticket, fingerprint, now - 0.1)
+        for ticket in tickets:
+            for finding in self.guards[number].record_crash(ticket, now):
+                for other in self.guards:
+                    if other is not self.guards[number]:
+                        other.apply_finding(finding, now)
+
+    def banned(self, now: float) -> list[set[int]]:
+        return [{ban.fingerprint for ban in guard.bans(now)} for guard in self.guards]
+
+    def test_suspects_run_like_other_calls(self):
+        self.crash(0, [POISON, 7], 1.0)
+        for guard in self.guards:
+            self.assertEqual(RunNormally(), guard.admit(POISON, at_other_instance, 1.1))
+            self.assertIsNone(guard.recheck(POISON, False, 1.1))
+
+    def test_second_crash_bans_the_only_request_that_both_had_in_flight(self):
+        self.crash(0, [POISON, 7], 1.0)
+        self.crash(1, [POISON, 8], 3.0)
+        self.assertEqual(self.banned(3.0), [{POISON}] * 3)
+        refused = self.guards[2].admit(POISON, at_other_instance, 3.1)
+        self.assertEqual(NotRunReason.POISONED, refused.outcome.reason)
+
+    def test_second_crash_bans_nothing_while_several_requests_may_be_the_cause(self):
+        self.crash(0, [POISON, 7, 8], 1.0)
+        self.crash(1, [POISON, 7], 3.0)
+        self.assertEqual(self.banned(3.0), [set()] * 3)
+
+    def test_third_crash_bans_the_request_that_all_had_in_flight(self):
+        self.crash(0, [POISON, 7, 8], 1.0)
+        self.crash(1, [POISON, 7], 3.0)
+        self.crash(2, [POISON, 8], 5.0)
+        self.assertEqual(self.banned(5.0), [{POISON}] * 3)
+
+
 class MemoryTests(unittest.TestCase):
     def test_memory_is_bounded(self):
         guard = PoisonGuard("a")
