--- a/bamboojunction/platform_node/app.py
+++ b/bamboojunction/platform_node/app.py
@@ -44,7 +44,6 @@
         gate: PlatformNodeGate,
         events: EventLog,
         ports: "PlatformNodeAppPorts",
-        wait_until_stored: Callable[[float], Awaitable[bool]],
     ):
         self._service = service
         self._current_routes = current_routes
@@ -53,7 +52,8 @@
         self._gate = gate
         self._events = events
         self._ports = ports
-        self._wait_until_stored = wait_until_stored
+        # Waits, at most the given seconds, until the store holds the state of the local upstream.
+        self.wait_until_stored: Callable[[float], Awaitable[bool]] = _is_stored
         self._loop = asyncio.get_running_loop()
         self.in_flight = 0
         self.is_stopping = False
@@ -113,7 +113,7 @@
                 change = self._local_upstream.apply(report)
                 has_left = change in (UpstreamChange.DRAINING, UpstreamChange.GONE)
                 # An acknowledged departure binds also the next process of this node.
-                if has_left and not await self._wait_until_stored(STORE_DEPARTURE_SECONDS):
+                if has_left and not await self.wait_until_stored(STORE_DEPARTURE_SECONDS):
                     self._events.departure_not_stored(report.instance_id)
                 return HttpResponse(200, (("content-type", "application/json"),), b"{}")
             case Err(problem):
@@ -209,6 +209,11 @@
         self.metrics = metrics
 
 
+async def _is_stored(timeout: float) -> bool:
+    """Tell that nothing is left to store; the default of an app without a store."""
+    return True
+
+
 def _decoded_path(target: bytes) -> str:
     """Return the percent-decoded path of a request target, without its query."""
     path = target.partition(b"?")[0].decode("latin-1")
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -169,8 +169,8 @@
             self.gate,
             self.events,
             ports,
-            self.store_sync.wait_until_stored,
         )
+        self.app.wait_until_stored = self.store_sync.wait_until_stored
         addresses = (
             settings.caller_address,
             settings.ready_address,
