Read each entry of the store on its own

What callers saw: one odd entry of another writer stopped the list of instances at all nodes, or a port out of range failed a part of the requests for its service with 502. Cause: a page was decoded as one text; deep nesting raised RecursionError, which nobody caught; the address was not checked, and ValueError from opening the link reached the caller's connection. Change: objects are decoded one by one, after values nested too deeply and invalid strings have been replaced without recursion; entries, and reports of upstreams, are checked for addresses and numbers out of range; an address that is none is unreachable; a node writes its own entry again.

--- a/bamboojunction/links/pool.py
+++ b/bamboojunction/links/pool.py
@@ -169,6 +169,9 @@
                 link = await self._connect_and_authenticate(address)
         except (WebSocketException, LinkClosedError, OSError, TimeoutError):
             link = None
+        except (ValueError, OverflowError):
+            # The address, which another node has announced, is none.
+            link = None
         if link is None:
             self._connect_failed_at[address] = self._loop.time()
             self.on_connect_failed(address)
--- a/bamboojunction/platform/heartbeats.py
+++ b/bamboojunction/platform/heartbeats.py
@@ -5,9 +5,17 @@
 import msgspec
 from result import Err, Ok, Result
 
+from bamboojunction.platform.lenient_json import decode_leniently
+
 INSTANCES_PATH = "/instances/"
 
 
+# Bounds on the numbers of a heartbeat; one beyond them was not written by an upstream.
+SLOTS_MAX = 65_535
+STARTED_AT_MAX_MS = 10**14
+SEQUENCE_MAX = 2**53
+
+
 class _HeartbeatBody(msgspec.Struct):
     service: str
     address: str
@@ -60,11 +68,13 @@
 
 def _read_heartbeat(instance_id: str, body: bytes) -> Result[Heartbeat, str]:
     try:
-        decoded = msgspec.json.decode(body, type=_HeartbeatBody)
+        decoded = decode_leniently(body, _HeartbeatBody)
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         return Err(f"heartbeat cannot be read: {error}")
-    if decoded.state not in ("ready", "draining") or decoded.slots < 1:
+    if decoded.state not in ("ready", "draining") or not 1 <= decoded.slots <= SLOTS_MAX:
         return Err(f"heartbeat has state {decoded.state!r} and {decoded.slots} slots")
+    if not 0 <= decoded.born <= STARTED_AT_MAX_MS or not 0 <= decoded.sequence <= SEQUENCE_MAX:
+        return Err(f"heartbeat has start {decoded.born} and sequence {decoded.sequence}")
     return Ok(
         Heartbeat(
             instance_id,
--- a/bamboojunction/platform/http_client.py
+++ b/bamboojunction/platform/http_client.py
@@ -1,5 +1,6 @@
 """The HTTP client for the platform's object store."""
 
+import contextlib
 import ipaddress
 import socket
 from collections.abc import Callable
@@ -20,6 +21,7 @@
     PlatformObject,
     WatchBatch,
 )
+from bamboojunction.platform.lenient_json import decode_leniently
 from bamboojunction.upstreams.no_retry import disable_retries
 
 RESPONSE_MAX_BYTES = 16_000_000
@@ -56,11 +58,12 @@
 
 class _Object(msgspec.Struct):
     metadata: _Metadata
-    spec: object = None
+    # Decoded on its own, as one object that cannot be read must not hide the others.
+    spec: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _Page(msgspec.Struct):
-    items: list[_Object]
+    items: list[msgspec.Raw]
     store_revision: int
     # Whether another page follows; the ``after`` query parameter requests it.
     more: bool = False
@@ -72,7 +75,7 @@
 
 
 class _Events(msgspec.Struct):
-    events: list[_Event]
+    events: list[msgspec.Raw]
     store_revision: int
 
 
@@ -122,10 +125,11 @@
                 return result
             page = result.ok()
             revision = page.store_revision if revision is None else revision
-            objects.extend(_to_object(collection, item) for item in page.items)
-            if not page.more or not page.items:
+            found = _decode_each(page.items, _Object)
+            objects.extend(_to_object(collection, item) for item in found)
+            if not page.more or not found:
                 return Ok(ObjectList(revision, objects))
-            after = page.items[-1].metadata.name
+            after = found[-1].metadata.name
 
     async def put(
         self, collection: str, name: str, value: dict, expected_version: int
@@ -299,13 +303,27 @@
 
 
 def _to_object(collection: str, decoded: _Object) -> PlatformObject:
-    value = decoded.spec if isinstance(decoded.spec, dict) else {}
+    try:
+        value = msgspec.json.decode(decoded.spec, type=dict)
+    except msgspec.DecodeError:
+        # Whoever reads the collection rejects the empty value, under the object's name.
+        value = {}
     return PlatformObject(collection, decoded.metadata.name, decoded.metadata.rev, value)
 
 
+def _decode_each(raw_items: list[msgspec.Raw], item_type: type[Parsed]) -> list[Parsed]:
+    """Decode the items that can be decoded; an object without a name or a version has no use."""
+    decoded: list[Parsed] = []
+    for raw in raw_items:
+        with contextlib.suppress(msgspec.DecodeError):
+            decoded.append(msgspec.json.decode(raw, type=item_type))
+    return decoded
+
+
 def _to_batch(collection: str, decoded: _Events) -> WatchBatch:
     """Return the changes in a batch, with only the last event of each object."""
-    last_by_name = {event.object.metadata.name: event for event in decoded.events}
+    received = _decode_each(decoded.events, _Event)
+    last_by_name = {event.object.metadata.name: event for event in received}
     events = last_by_name.values()
     changed = [_to_object(collection, event.object) for event in events if not event.deleted]
     deleted = [event.object.metadata.name for event in events if event.deleted]
@@ -318,7 +336,7 @@
 
 
 def _json_parser(result_type: type[Parsed]) -> Callable[[bytes], Parsed]:
-    return msgspec.json.Decoder(result_type).decode
+    return lambda content: decode_leniently(content, result_type)
 
 
 def _validate_address(address: str) -> None:
--- a/bamboojunction/platform_node/store_sync.py
+++ b/bamboojunction/platform_node/store_sync.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import Err, Ok
 
+from bamboojunction.conf.addresses import is_valid_address
 from bamboojunction.core.membership.departures import (
     RETENTION_SECONDS,
     DepartureRecord,
@@ -19,6 +20,7 @@
 from bamboojunction.platform import configuration
 from bamboojunction.platform.client import PlatformClient, PlatformErrorKind, PlatformObject
 from bamboojunction.platform.configuration import DecodedConfiguration
+from bamboojunction.platform.heartbeats import STARTED_AT_MAX_MS
 from bamboojunction.platform_node.collection_follower import (
     RETRY_SECONDS_MAX,
     RETRY_SECONDS_MIN,
@@ -174,7 +176,7 @@
         """Merge announcements from a peer, unless the store has already listed them."""
         if self._has_listed_instances:
             return
-        self._by_instance.update((entry.instance, entry) for entry in entries)
+        self._by_instance.update((entry.instance, entry) for entry in entries if _is_usable(entry))
         self.on_instances_changed(without_superseded(self._by_instance))
 
     async def read_departures(self) -> None:
@@ -352,6 +354,10 @@
         entry = _decode_entry(item)
         if entry is None:
             self._events.announcement_rejected(item.name)
+            if item.name == self.own_instance:
+                # Another writer has replaced this node's entry; _announce then writes it again.
+                self._version_by_instance[item.name] = item.version
+                self._set_stored(None, item.version)
             return
         self._forget(item.name)
         self._version_by_instance[item.name] = item.version
@@ -397,9 +403,16 @@
         entry = msgspec.convert(item.value, DepartureRecord if is_record else Announcement)
     except msgspec.ValidationError:
         return None
+    if isinstance(entry, Announcement) and not _is_usable(entry):
+        return None
     return entry if entry.instance == item.name else None
 
 
+def _is_usable(announcement: Announcement) -> bool:
+    is_plausible_start = 0 <= announcement.started_at <= STARTED_AT_MAX_MS
+    return is_plausible_start and is_valid_address(announcement.address)
+
+
 def _departures_in(
     entry: Announcement | DepartureRecord | None,
 ) -> tuple[UpstreamDeparture, ...]:
--- a/tests/adapter/test_heartbeats.py
+++ b/tests/adapter/test_heartbeats.py
@@ -40,6 +40,10 @@
     def test_departure_is_decoded(self):
         self.assertEqual(read_report("DELETE", "/instances/i-7", b"").unwrap(), Departure("i-7"))
 
+    def test_unknown_field_that_is_nested_too_deeply_is_ignored(self):
+        body = encode()[:-1] + b', "later": ' + b"[" * 5_000 + b"]" * 5_000 + b"}"
+        self.assertTrue(read_report("PUT", "/instances/i-7", body).is_ok())
+
     def test_malformed_reports_are_rejected(self):
         bodies = {
             "not JSON": b"\xff{",
@@ -48,6 +52,10 @@
             "text for slots": encode(slots="49"),
             "no slots": encode(slots=0),
             "fraction for the start": encode(born=1.5),
+            "start too large": encode(born=10**18),
+            "slots too many": encode(slots=10**12),
+            "sequence too large": encode(sequence=10**30),
+            "nested too deeply": b"[" * 5_000 + b"]" * 5_000,
         }
         for name, body in bodies.items():
             with self.subTest(name):
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -4,12 +4,15 @@
 a test replaces its examples.
 """
 
+import contextlib
+import json
 import tempfile
 import types
 import unittest
 from pathlib import Path
 
 import cbor2
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -21,6 +24,7 @@
 from bamboojunction.links.convert import answer_to_reply
 from bamboojunction.links.messages import CallAnswer
 from bamboojunction.platform.configuration import decode_configuration
+from bamboojunction.platform.lenient_json import NESTING_MAX, decode_leniently, replace_undecodable
 from tests.processes.base import TABLE
 
 VALUES = st.recursive(
@@ -32,6 +36,34 @@
 TAGS = st.sampled_from(sorted(TYPE_BY_TAG)) | st.integers()
 
 
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**63) | st.text(),
+    lambda children: st.lists(children, max_size=4)
+    | st.dictionaries(st.text(), children, max_size=3),
+    max_leaves=12,
+)
+
+
+class LenientJsonTests(unittest.TestCase):
+    @given(JSON_VALUES)
+    def test_text_that_can_be_decoded_is_left_as_it_is(self, value):
+        content = json.dumps(value).encode()
+        self.assertEqual(replace_undecodable(content), content)
+
+    @given(JSON_VALUES, st.integers(NESTING_MAX, 3_000), JSON_VALUES)
+    def test_values_beside_one_that_is_nested_too_deeply_are_kept(self, before, depth, after):
+        content = "[{}, {}{}{}, {}]".format(
+            json.dumps(before), "[" * depth, json.dumps(before), "]" * depth, json.dumps(after)
+        )
+        decoded = msgspec.json.decode(replace_undecodable(content.encode()))
+        self.assertEqual((decoded[0], decoded[2]), (before, after))
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_decoded_or_refused(self, content):
+        with contextlib.suppress(msgspec.DecodeError):
+            decode_leniently(content, object)
+
+
 class FrameTests(unittest.TestCase):
     @given(st.binary(max_size=400))
     def test_any_bytes_are_decoded_or_refused(self, frame):
--- a/tests/links/test_reconnect.py
+++ b/tests/links/test_reconnect.py
@@ -54,3 +54,13 @@
         await self.start_server()
         self.pool.forget_failures([f"{HOST}:{self.port}"])
         self.assertEqual((await self.send_request()).body, b"whole")
+
+    async def test_request_to_an_address_that_is_none_is_not_sent(self):
+        """A port out of range, as another writer announced it, failed the caller's request."""
+        for address in ("127.0.0.1:99999", "127.0.0.1:http", "127.0.0.1", "", "127.0.0.1:-1"):
+            with self.subTest(address=address):
+                fields = ("", "", "", 5.0, 0, 0, "", 0, "GET", "/", (), b"", "")
+                request = CallRequest(self.pool.next_request_id(), 0, *fields)
+                async with asyncio.timeout(30):
+                    result = await self.pool.request(address, request)
+                self.assertIs(result, LinkFailure.NOT_SENT)
--- a/tests/platform_node/test_store_sync.py
+++ b/tests/platform_node/test_store_sync.py
@@ -106,6 +106,58 @@
         self.assertEqual(found, {"b": new, "c": other})
 
 
+class OddEntryTests(unittest.IsolatedAsyncioTestCase):
+    """An entry that another writer left names no instance, and leaves the others as they are."""
+
+    ODD_CHANGES = (
+        {"address": "10.0.0.9:99999"},
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:http"},
+        {"address": "10.0.0.9:\u0663"},
+        {"address": "no address"},
+        {"address": ["10.0.0.9:1"]},
+        {"started_at": 1e30},
+        {"started_at": "now"},
+        {"state": "resting"},
+        {"instance": "another"},
+    )
+
+    async def apply(self, objects: list[PlatformObject], own: str = "") -> StoreSync:
+        output = LineOutput(os.open(os.devnull, os.O_WRONLY), 0.0)
+        store_sync = StoreSync(
+            WriteOnlyStore(),
+            CurrentRoutes(),
+            random.Random(1),
+            EventLog("a", output),
+            HISTORY_SECONDS,
+        )
+        store_sync.own_instance = own
+        store_sync._apply_instances(objects, [], True)
+        return store_sync
+
+    async def test_entry_that_names_no_instance_is_left_out(self):
+        good = announcement("good", "10.0.0.1:1", 1.0)
+        odd = msgspec.to_builtins(announcement("odd", "10.0.0.9:9", 2.0))
+        for change in self.ODD_CHANGES:
+            with self.subTest(change=change):
+                objects = [
+                    PlatformObject(ANNOUNCEMENT_COLLECTION, "odd", 8, odd | change),
+                    PlatformObject(ANNOUNCEMENT_COLLECTION, "good", 9, msgspec.to_builtins(good)),
+                ]
+                self.assertEqual((await self.apply(objects)).announcements(), [good])
+
+    async def test_own_entry_is_written_again_after_another_writer_replaced_it(self):
+        own = announcement("own", "10.0.0.1:1", 1.0)
+        store_sync = await self.apply([], "own")
+        store_sync.announce(own)
+        store_sync._set_stored(own, 3)
+        store_sync._own_announcement_changed.clear()
+        odd = PlatformObject(ANNOUNCEMENT_COLLECTION, "own", 4, {"instance": 7})
+        store_sync._apply_instances([odd], [], False)
+        self.assertTrue(store_sync._own_announcement_changed.is_set())
+        self.assertEqual(store_sync._stored_version, 4)
+
+
 class FollowerTests(unittest.IsolatedAsyncioTestCase):
     async def test_replica_that_lags_brings_nothing_back_and_moves_no_watch_back(self):
         stays = announcement("stays", "10.0.0.1:1", 1.0)
--- a/tests/platform_store/test_http_client.py
+++ b/tests/platform_store/test_http_client.py
@@ -15,6 +15,16 @@
 from bamboojunction.platform.http_client import RESPONSE_MAX_BYTES, HttpPlatformClient
 from tests.endless import NOT_KEPT, RESPONSES, SOCKET_BUFFER_BYTES_MAX, EndlessServer
 
+# Specs that another writer may leave, and that fail the decoding of the text around them.
+ODD_SPECS = {
+    "nested too deeply": "[" * 5_000 + "]" * 5_000,
+    "nested too deeply in an object": '{"a":' * 3_000 + "1" + "}" * 3_000,
+    "number too large": '{"started_at": 1e999}',
+    "integer too large": '{"sequence": ' + "9" * 5_000 + "}",
+    "half a surrogate pair": '{"instance": "\\ud800"}',
+    "no object": "[1, 2]",
+}
+
 
 class HttpClientTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
@@ -37,6 +47,39 @@
         gone = await self.client.get("tables", "a b")
         self.assertIs(gone.err().kind, PlatformErrorKind.NOT_FOUND)
 
+    async def list_and_watch(self, spec: str):
+        """Return the results of a list and a watch in which one object of two has this spec."""
+        odd = f'{{"metadata": {{"name": "odd", "rev": 5}}, "spec": {spec}}}'
+        good = '{"metadata": {"name": "good", "rev": 6}, "spec": {"x": 1}}'
+        page = f'{{"items": [{odd}, {good}], "store_revision": 6, "more": false}}'
+        events = f'{{"events": [{{"object": {odd}}}, {{"object": {good}}}], "store_revision": 6}}'
+
+        async def answer(request: web.Request) -> web.Response:
+            return web.Response(text=events if "watch" in request.query else page)
+
+        app = web.Application()
+        app.router.add_get("/{path:.*}", answer)
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        client = HttpPlatformClient([f"{host}:{port}"], timeout_seconds=5.0)
+        try:
+            return await client.list("upstreams"), await client.watch("upstreams", 4, 0.0)
+        finally:
+            await client.close()
+            await runner.cleanup()
+
+    async def test_one_object_that_cannot_be_decoded_does_not_hide_the_others(self):
+        """One odd entry of another writer ended the watch of all nodes, again and again."""
+        for name, spec in ODD_SPECS.items():
+            with self.subTest(name):
+                listed, watched = await self.list_and_watch(spec)
+                values = {item.name: item.value for item in listed.unwrap().objects}
+                self.assertEqual(values["good"], {"x": 1})
+                values = {item.name: item.value for item in watched.unwrap().changed}
+                self.assertEqual(values["good"], {"x": 1})
+
     async def test_second_write_on_one_version_is_a_conflict(self):
         await self.client.put("tables", "t", {"x": 1}, 0)
         second = await self.client.put("tables", "t", {"x": 2}, 0)
