Refused calls that a stopping node could not finish

What callers saw: reservations handed to a stopping gate, calls of the upstream beside it and late requests of its clients were cut off at the end of the grace time, with 502 or no answer. Cause: a stopping node took calls for a fixed time whatever they need. Change: one rule in core for the three ways in: a call has to end before the node closes, by the longest recent duration of its kind or its deadline; others are refused as not run and move on. test_stopping_node_finishes_accepted_requests sent a call of unknown length late in the stop; it now lets the node see one first, and checks as much.

--- a/bamboojunction/core/graceful_shutdown.py
+++ b/bamboojunction/core/graceful_shutdown.py
@@ -13,6 +13,13 @@
 POLL_INTERVAL_SECONDS = 0.05
 
 
+# Period after which a call no longer counts for the longest duration of its kind, at the earliest.
+DURATION_PERIOD_SECONDS = 30.0
+
+# Time for the answer of a call that ends just before the node closes.
+ANSWER_MARGIN_SECONDS = 0.1
+
+
 class StopReason(Enum):
     """The reason why a node closes its sockets."""
 
@@ -99,3 +106,57 @@
         if work.last_key_settled_at is None:
             return peers_notified_at
         return max(peers_notified_at, work.last_key_settled_at + DUPLICATE_GRACE_SECONDS)
+
+
+class CallDurations:
+    """The longest duration of the recent calls of each kind.
+
+    A call counts for one to two periods of ``DURATION_PERIOD_SECONDS``.
+    """
+
+    __slots__ = ("_current_by_kind", "_period_started_at", "_previous_by_kind")
+
+    def __init__(self, now: float):
+        self._period_started_at = now
+        self._current_by_kind: dict[str, float] = {}
+        self._previous_by_kind: dict[str, float] = {}
+
+    def record(self, kind: str, seconds: float, now: float) -> None:
+        """Record how long a call took."""
+        self._start_period(now)
+        self._current_by_kind[kind] = max(seconds, self._current_by_kind.get(kind, 0.0))
+
+    def longest(self, kind: str, now: float) -> float | None:
+        """Return the longest duration in seconds, or None if no recent call is known."""
+        self._start_period(now)
+        durations = (self._current_by_kind.get(kind), self._previous_by_kind.get(kind))
+        return max((seconds for seconds in durations if seconds is not None), default=None)
+
+    def _start_period(self, now: float) -> None:
+        elapsed = now - self._period_started_at
+        if elapsed < DURATION_PERIOD_SECONDS:
+            return
+        is_previous_recent = elapsed < 2 * DURATION_PERIOD_SECONDS
+        self._previous_by_kind = self._current_by_kind if is_previous_recent else {}
+        self._current_by_kind = {}
+        self._period_started_at = now
+
+
+@dataclass(slots=True, frozen=True)
+class StopWindow:
+    """The time that a stopping node has left to finish calls, until ``closes_at``.
+
+    A call that is cut off when the node closes may have run, and a call of a kind that may run
+    once only is lost then. A call that is refused before it starts can be served elsewhere.
+    """
+
+    closes_at: float
+
+    def has_room(self, deadline: float, longest: float | None, now: float) -> bool:
+        """Return whether a call that starts now is expected to end before the node closes.
+
+        ``longest`` is the longest duration of its kind in seconds. If it is not known, the call may
+        take until its deadline.
+        """
+        ends_at = deadline if longest is None else min(deadline, now + longest)
+        return ends_at + ANSWER_MARGIN_SECONDS <= self.closes_at
--- a/bamboojunction/node/gate.py
+++ b/bamboojunction/node/gate.py
@@ -131,11 +131,16 @@
         refusal = self._guard.recheck(fingerprint, is_isolated, now)
         if now >= call.deadline:
             refusal = NotRun(NotRunReason.DEADLINE)
+        refusal = refusal or self._refusal_before_start(call)
         if refusal is not None:
             self._finish(ticket.ticket_id, CompletionStatus.CANCELLED, 0.0)
             return self._refusal_reply(call, refusal)
         return await self._run(ticket, call, fingerprint)
 
+    def _refusal_before_start(self, call: Call) -> NotRun | None:
+        """Return a refusal of a call that has got its slot, or None; a hook for subclasses."""
+        return None
+
     def drain(self) -> None:
         """Refuse all queued calls and new ones."""
         self._apply_decisions(self._admission.drain(self._loop.time()))
--- a/bamboojunction/platform_node/app.py
+++ b/bamboojunction/platform_node/app.py
@@ -9,6 +9,7 @@
 from bamboojunction.callers.connection import Rejection
 from bamboojunction.core.admission.dependencies import child_call_rank
 from bamboojunction.core.calls import Call
+from bamboojunction.core.graceful_shutdown import CallDurations, StopWindow
 from bamboojunction.core.http_messages import HttpRequest, HttpResponse, RawHeaders
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
 from bamboojunction.core.retries.forwarding import shows_shortage
@@ -55,6 +56,8 @@
         # Waits, at most the given seconds, until the store holds the state of the local upstream.
         self.wait_until_stored: Callable[[float], Awaitable[bool]] = _is_stored
         self._loop = asyncio.get_running_loop()
+        self._durations = CallDurations(self._loop.time())
+        self.stop_window: StopWindow | None = None
         self.in_flight = 0
         self.is_stopping = False
         self.is_refusing_callers = False
@@ -163,6 +166,9 @@
         if self._loop.time() >= call.deadline:
             # The request waited for those ahead of it on its connection.
             return requests.outcome_response(NotRun(NotRunReason.DEADLINE), headers.request_id)
+        if not self._can_finish(call):
+            refusal = NotRun(NotRunReason.DRAINING, STOPPING_RETRY_AFTER_SECONDS)
+            return requests.outcome_response(refusal, headers.request_id)
         if parent is None:
             call.root_action, call.inherited_rank = call.action, route.row.rank
             self._forwarder.budget(call.service).record_request(self._loop.time())
@@ -173,11 +179,22 @@
                 if parent.inherited_rank is None
                 else child_call_rank(parent.inherited_rank)
             )
+        started_at = self._loop.time()
         outcome = await self._forwarder.route(call, route.row)
+        if not isinstance(outcome, NotRun):
+            now = self._loop.time()
+            self._durations.record(call.kind, now - started_at, now)
         if parent is not None and shows_shortage(outcome):
             parent.has_refused_child = True
         return requests.outcome_response(outcome, headers.request_id)
 
+    def _can_finish(self, call: Call) -> bool:
+        """Return whether a call is expected to end before this node closes, if it is stopping."""
+        now = self._loop.time()
+        return self.stop_window is None or self.stop_window.has_room(
+            call.deadline, self._durations.longest(call.kind, now), now
+        )
+
     def _build_call(self, request: HttpRequest, headers: CallerHeaders, route: Route) -> Call:
         timeout = (
             route.timeout
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -7,6 +7,7 @@
 from bamboojunction.core.admission.dependencies import ServiceDependencies, child_call_rank
 from bamboojunction.core.admission.gate import AdmissionController, CompletionStatus, Ticket
 from bamboojunction.core.calls import Call
+from bamboojunction.core.graceful_shutdown import CallDurations, StopWindow
 from bamboojunction.core.load_reports import LoadReport
 from bamboojunction.core.outcomes import (
     NotRun,
@@ -108,12 +109,14 @@
     """A gate whose number of slots and state follow the heartbeats of the local upstream."""
 
     __slots__ = (
+        "_durations",
         "_events",
         "_is_stopping",
         "_local_upstream",
         "_running_by_request_id",
         "_service",
         "dependencies",
+        "stop_window",
     )
 
     def __init__(
@@ -136,6 +139,8 @@
         self._local_upstream = local_upstream
         self._service = service
         self._is_stopping = False
+        self.stop_window: StopWindow | None = None
+        self._durations = CallDurations(self._loop.time())
         self._running_by_request_id: dict[str, Call] = {}
         self._events = events
         self.dependencies = ServiceDependencies()
@@ -176,7 +181,7 @@
             return self._refusal_reply(call, NotRun(NotRunReason.UNREACHABLE))
         if self._is_stopping or not self._local_upstream.is_serving:
             return self._refusal_reply(call, NotRun(NotRunReason.DRAINING))
-        refusal = self._chain_refusal(call)
+        refusal = self._refusal_before_start(call) or self._chain_refusal(call)
         if refusal is not None:
             return self._refusal_reply(call, refusal)
         fingerprint = fingerprint_of(
@@ -187,6 +192,16 @@
             return self._refusal_reply(call, refusal)
         return await self._serve_admitted(call, fingerprint, False)
 
+    def _refusal_before_start(self, call: Call) -> NotRun | None:
+        """Refuse a call that would be cut off when this node closes."""
+        now = self._loop.time()
+        if self.stop_window is None or self.stop_window.has_room(
+            call.deadline, self._durations.longest(call.kind, now), now
+        ):
+            return None
+        # Shorter calls are still served, so peers must not take the instance for draining.
+        return NotRun(NotRunReason.FULL, UNREACHABLE_RETRY_AFTER_SECONDS)
+
     def _chain_refusal(self, call: Call) -> NotRun | None:
         """Refuse a call at the top of its chain if a service below would shed the chain.
 
@@ -221,10 +236,14 @@
 
     async def _run(self, ticket: Ticket, call: Call, fingerprint: int) -> GateReply:
         self._running_by_request_id[call.action] = call
+        started_at = self._loop.time()
         try:
             reply = await super()._run(ticket, call, fingerprint)
         finally:
             self._running_by_request_id.pop(call.action, None)
+        if not isinstance(reply.outcome, NotRun):
+            now = self._loop.time()
+            self._durations.record(call.kind, now - started_at, now)
         match reply.outcome:
             case Ran(status=status) if status >= SERVER_ERROR_STATUS and call.has_refused_child:
                 return replace(reply, outcome=replace(reply.outcome, failed_below=True))
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -11,6 +11,7 @@
 from bamboojunction.callers.sockets import listen
 from bamboojunction.conf.addresses import split_address
 from bamboojunction.conf.settings import LinkSettings
+from bamboojunction.core.graceful_shutdown import StopWindow
 from bamboojunction.core.membership.departures import DepartureRecord, UpstreamDeparture
 from bamboojunction.core.membership.reachability import ConnectFailureTracker
 from bamboojunction.core.membership.ring import Ring
@@ -205,13 +206,15 @@
     async def stop(self) -> None:
         """Stop gracefully.
 
-        Readiness ends first, then the gate and the caller listener refuse new calls, running
-        requests finish, and finally all connections are closed.
+        Readiness ends first, and calls that would be cut off at the end are refused from then on.
+        Then the gate and the caller listener refuse all new calls, running requests finish, and
+        finally all connections are closed.
         """
         started_at = self._loop.time()
         drain_deadline = started_at + self.settings.stop_seconds - CLOSE_RESERVE_SECONDS
         self.events.stopping(in_flight=self.app.in_flight)
         self.app.is_stopping = True
+        self.app.stop_window = self.gate.stop_window = StopWindow(drain_deadline)
         self.server.begin_stop()
         while self._loop.time() < drain_deadline:
             are_callers_drained = self._loop.time() - started_at >= CALLER_DRAIN_SECONDS
--- a/tests/graceful_shutdown/test_graceful_shutdown.py
+++ b/tests/graceful_shutdown/test_graceful_shutdown.py
@@ -5,9 +5,12 @@
 from bamboojunction.core.graceful_shutdown import (
     DRAIN_NOTICE_SECONDS,
     DUPLICATE_GRACE_SECONDS,
+    DURATION_PERIOD_SECONDS,
+    CallDurations,
     Close,
     GracefulShutdown,
     StopReason,
+    StopWindow,
     Wait,
     WorkInFlight,
 )
@@ -60,3 +63,42 @@
         self.graceful_shutdown.force()
         decision = self.graceful_shutdown.decide(WorkInFlight(executing=1), 100.1)
         self.assertEqual(decision, Close(StopReason.FORCED, 1))
+
+
+class StopWindowTests(unittest.TestCase):
+    """Calls that would be cut off at the end of a stop are refused before they start."""
+
+    def setUp(self):
+        self.window = StopWindow(10.0)
+
+    def test_call_of_known_length_is_taken_while_it_ends_in_time(self):
+        self.assertTrue(self.window.has_room(deadline=20.0, longest=3.0, now=6.0))
+        self.assertFalse(self.window.has_room(deadline=20.0, longest=3.0, now=7.0))
+
+    def test_deadline_bounds_a_call(self):
+        self.assertTrue(self.window.has_room(deadline=9.0, longest=30.0, now=6.0))
+        self.assertTrue(self.window.has_room(deadline=9.0, longest=None, now=6.0))
+
+    def test_call_of_unknown_length_may_take_until_its_deadline(self):
+        self.assertFalse(self.window.has_room(deadline=11.0, longest=None, now=6.0))
+
+
+class CallDurationsTests(unittest.TestCase):
+    def test_longest_of_a_kind_is_kept_for_at_least_one_period(self):
+        durations = CallDurations(0.0)
+        for seconds, now in ((0.1, 1.0), (3.2, 2.0), (0.2, 3.0)):
+            durations.record("reserve", seconds, now)
+        durations.record("lookup", 0.1, 3.0)
+        self.assertEqual(durations.longest("reserve", 2.0 + DURATION_PERIOD_SECONDS), 3.2)
+        self.assertEqual(durations.longest("lookup", 4.0), 0.1)
+        self.assertIsNone(durations.longest("charge", 4.0))
+
+    def test_calls_of_earlier_periods_are_forgotten(self):
+        for gap in (1.0, 2.0, 5.0):
+            durations = CallDurations(0.0)
+            durations.record("reserve", 3.2, 1.0)
+            if gap == 1.0:
+                durations.record("reserve", 0.1, gap * DURATION_PERIOD_SECONDS)
+                self.assertEqual(durations.longest("reserve", 2.0 * DURATION_PERIOD_SECONDS), 0.1)
+            else:
+                self.assertIsNone(durations.longest("reserve", gap * DURATION_PERIOD_SECONDS))
--- a/tests/platform_node/test_path.py
+++ b/tests/platform_node/test_path.py
@@ -312,6 +312,9 @@
 
     async def test_stopping_node_finishes_accepted_requests_and_then_refuses_at_its_gate(self):
         await self.configure_and_join()
+        # A call of unknown length would be refused, as it may take until its deadline.
+        await self.fleet.request("a", "/pay/x", "POST")
+        self.upstream("c").executed.clear()
         self.upstream("c").may_respond.clear()
         loop = asyncio.get_running_loop()
         drained_at = loop.time() + CALLER_DRAIN_SECONDS + 2 * PAUSE_CHECK_INTERVAL_SECONDS
@@ -331,6 +334,68 @@
         self.assertEqual((await running)[0], 200)
         await stopping
 
+    async def stop_with_calls_of(self, name: str, seconds: float) -> asyncio.Task:
+        """Begin to stop a node that knows of charges which took this long."""
+        node = self.fleet.machines[name].node
+        now = asyncio.get_running_loop().time()
+        node.gate._durations.record("r-pay", seconds, now)
+        node.app._durations.record("r-pay", seconds, now)
+        stopping = asyncio.create_task(node.stop())
+        await self.fleet.wait_until(lambda: node.app.is_stopping)
+        return stopping
+
+    async def send_long_charge(self, name: str, request_id: str = "charge"):
+        headers = {
+            "Bamboojunction-Request-Id": request_id,
+            "Bamboojunction-Deadline-Ms": "10000",
+        }
+        return await self.fleet.request(name, "/pay/x", "POST", headers=headers)
+
+    async def configure_long_charges(self) -> None:
+        pay = route("r-pay", "/pay/", "billing", kind="non_idempotent", timeout_ms=10_000)
+        await self.fleet.configure(configuration(3, route("r-menu", "/menu/", "menu"), pay))
+        await self.fleet.join()
+
+    async def test_stopping_gate_refuses_calls_that_it_could_not_finish(self):
+        """Calls that peers had handed to a stopping gate were cut off when it closed."""
+        await self.configure_long_charges()
+        stopping = await self.stop_with_calls_of("c", 5.0)
+        self.assertEqual((await self.send_long_charge("a"))[0], 503)
+        self.assertEqual(self.upstream("c").executed, [])
+        await stopping
+
+    async def test_stopping_gate_serves_calls_that_it_can_finish(self):
+        await self.configure_long_charges()
+        stopping = await self.stop_with_calls_of("c", 0.2)
+        self.assertEqual((await self.send_long_charge("a"))[0], 200)
+        await stopping
+
+    async def test_stopping_node_refuses_requests_that_it_could_not_finish(self):
+        """Requests taken late in a planned stop were passed on and then cut off."""
+        await self.configure_long_charges()
+        stopping = await self.stop_with_calls_of("a", 5.0)
+        status, headers, _ = await self.send_long_charge("a")
+        self.assertEqual((status, self.upstream("c").executed), (503, []))
+        self.assertIn("Retry-After", headers)
+        await stopping
+
+    async def test_stopping_node_refuses_child_calls_that_it_could_not_finish(self):
+        """Child calls of a running call were taken until the node closed, and cut off."""
+        await self.configure_long_charges()
+        for name in ("a", "b"):
+            self.upstream(name).may_respond.clear()
+        headers = {"Bamboojunction-Request-Id": "root"}
+        parent = asyncio.create_task(self.fleet.request("c", "/menu/x", headers=headers))
+        await self.fleet.wait_until(lambda: any(self.upstream(name).executed for name in "ab"))
+        name = "a" if self.upstream("a").executed else "b"
+        stopping = await self.stop_with_calls_of(name, 5.0)
+        self.assertEqual((await self.send_long_charge(name, "root.1"))[0], 503)
+        self.assertEqual(self.upstream("c").executed, [])
+        for upstream in (self.upstream("a"), self.upstream("b")):
+            upstream.may_respond.set()
+        self.assertEqual((await parent)[0], 200)
+        await stopping
+
     async def test_request_that_arrives_as_the_node_closes_is_refused(self):
         await self.configure_and_join()
         node = self.fleet.machines["c"].node
