Started nodes beside ports that are taken

What users saw: processes ended by themselves. Found here: an outgoing connection on the first port of the links' range, or a fixed port still in use, ended the node with a traceback at each start, and SIGHUP ended it up to 70 ms after the start. Cause: only the first link port was tried, a taken port was an unhandled error, and signals were blocked only after the interpreter had read the machine's own packages. Ruled out: a store that is away.

--- a/bamboojunction/links/server.py
+++ b/bamboojunction/links/server.py
@@ -1,6 +1,7 @@
 """The server side of links: authentication of peers and dispatch of their messages."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 from loguru import logger
@@ -150,10 +151,16 @@
 
     async def start(self, host: str, port: int) -> None:
         """Start to listen on an address."""
+        await self._serve(host=host, port=port)
+
+    async def start_on(self, listening: socket.socket) -> None:
+        """Start to serve on a socket that already listens."""
+        await self._serve(sock=listening)
+
+    async def _serve(self, **where) -> None:
         self._server = await serve(
             self._accept,
-            host,
-            port,
+            **where,
             create_connection=LinkServerConnection,
             compression=None,
             # Compression is used only on links whose client asks for it.
--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -18,6 +18,7 @@
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 import uvloop
@@ -31,9 +32,15 @@
     PlatformNodeSettings,
     load_node_settings,
 )
+from bamboojunction.platform_node.listeners import Listeners, PortConflict
 from bamboojunction.platform_node.process import PlatformNode
 
 EXIT_INVALID_SETTINGS = 2
+EXIT_PORT_TAKEN = 3
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+# How long a start waits for a port that another process still has.
+PORT_WAIT_SECONDS = 10.0
+PORT_RETRY_SECONDS = 0.2
 # The deploy file sets this variable to the port of the metrics; port 0 takes any free port.
 METRICS_PORT_VARIABLE = "BAMBOO_METRICS_PORT"
 
@@ -49,15 +56,32 @@
     return loaded
 
 
-async def run_node(settings: PlatformNodeSettings) -> None:
+def open_listeners(settings: PlatformNodeSettings) -> Result[Listeners, PortConflict]:
+    """Listen on the node's ports; while one is taken, try again for ``PORT_WAIT_SECONDS``.
+
+    Exit if SIGTERM or SIGINT arrives meanwhile; both are blocked until the node has started.
+    """
+    metrics_port = int(os.environ.get(METRICS_PORT_VARIABLE, "0"))
+    deadline = time.monotonic() + PORT_WAIT_SECONDS
+    has_reported = False
+    while isinstance(opened := Listeners.open(settings, metrics_port), Err):
+        if time.monotonic() >= deadline:
+            break
+        if not has_reported:
+            sys.stderr.write(f"{opened.err()}; trying again for {PORT_WAIT_SECONDS:.0f} s\n")
+            has_reported = True
+        if signal.sigtimedwait(STOP_SIGNALS, PORT_RETRY_SECONDS) is not None:
+            sys.exit(os.EX_OK)
+    return opened
+
+
+async def run_node(settings: PlatformNodeSettings, listeners: Listeners) -> None:
     """Run a node until SIGTERM or SIGINT asks for a graceful stop."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    node = PlatformNode(
-        settings, sys.stdout.fileno(), int(os.environ.get(METRICS_PORT_VARIABLE, "0"))
-    )
+    node = PlatformNode(settings, sys.stdout.fileno(), listeners)
     loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(load_checked_settings()))
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop.set)
     await node.start()
     tune_collection()
@@ -66,22 +90,26 @@
     await node.stop()
 
 
-async def _run_and_exit(settings: PlatformNodeSettings) -> None:
+async def _run_and_exit(settings: PlatformNodeSettings, listeners: Listeners) -> None:
     """Run a node, then exit the process at once.
 
     Closing the event loop would wait for connections whose peers do not complete the close.
     """
-    await run_node(settings)
+    await run_node(settings, listeners)
     os._exit(os.EX_OK)
 
 
 def main() -> None:
-    """Run the node, or exit with an error if its settings are invalid."""
+    """Run the node, or exit with an error if its settings or its ports cannot be used."""
     loaded = load_checked_settings()
     if isinstance(loaded, Err):
         sys.stderr.write(f"{loaded.err()}\n")
         sys.exit(EXIT_INVALID_SETTINGS)
-    uvloop.run(_run_and_exit(loaded.ok()))
+    opened = open_listeners(loaded.ok())
+    if isinstance(opened, Err):
+        sys.stderr.write(f"{opened.err()}\n")
+        sys.exit(EXIT_PORT_TAKEN)
+    uvloop.run(_run_and_exit(loaded.ok(), opened.ok()))
 
 
 if __name__ == "__main__":
--- a/bamboojunction/platform/node_settings.py
+++ b/bamboojunction/platform/node_settings.py
@@ -73,7 +73,8 @@
     ``retry_ratio``, ``retry_slack`` and ``retry_window_seconds`` bound the retries that reach a
     service, summed over all nodes. ``memory_bytes`` is the memory limit of the process, and
     ``store_history_seconds`` the time for which the store keeps changes for watches. With
-    ``is_first_start`` no earlier process of this node has acknowledged anything.
+    ``is_first_start`` no earlier process of this node has acknowledged anything. Links use the
+    first free port from that of ``link_address`` to ``link_port_max``.
     """
 
     instance: str
@@ -93,6 +94,7 @@
     memory_bytes: int
     store_history_seconds: float = 20.0
     is_first_start: bool = False
+    link_port_max: int = 0
 
 
 def load_node_settings(path: Path) -> Result[PlatformNodeSettings, str]:
@@ -130,5 +132,6 @@
             memory_bytes=int(machine.limits.memory_mb * 1_000_000),
             store_history_seconds=store.history_s,
             is_first_start=machine.bootstrap,
+            link_port_max=file.network.port_range[1],
         )
     )
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -8,7 +8,6 @@
 from result import Err, Result
 
 from bamboojunction.callers.forwarding_server import ForwardingServer
-from bamboojunction.callers.sockets import listen
 from bamboojunction.conf.addresses import split_address
 from bamboojunction.conf.settings import LinkSettings
 from bamboojunction.core.graceful_shutdown import StopWindow
@@ -44,6 +43,7 @@
 )
 from bamboojunction.platform_node.forwarder import Forwarder
 from bamboojunction.platform_node.gate import PlatformNodeGate, UpstreamSender
+from bamboojunction.platform_node.listeners import Listeners
 from bamboojunction.platform_node.local_upstream import LocalUpstream, UpstreamChange
 from bamboojunction.platform_node.peer_sync import PeerSync
 from bamboojunction.platform_node.store_sync import StoreSync
@@ -87,8 +87,15 @@
 class PlatformNode:
     """A platform node with all its components; it must be created inside a running event loop."""
 
-    def __init__(self, settings: PlatformNodeSettings, log_descriptor: int, metrics_port: int = 0):
+    def __init__(
+        self,
+        settings: PlatformNodeSettings,
+        log_descriptor: int,
+        listeners: Listeners | None = None,
+    ):
         self.settings = settings
+        self._listeners = listeners or Listeners.open(settings, metrics_port=0).unwrap()
+        self._link_address = self._listeners.link_address
         self._loop = asyncio.get_running_loop()
         # The number of upstream starts. It is part of the announced incarnation, so that peers
         # treat each start as a new incarnation.
@@ -154,13 +161,13 @@
             identity, LINK_SETTINGS, self._serve_request, _refuse_seal, self.links.handlers
         )
         self.peer_sync = PeerSync(
-            settings.link_address, self.store_sync, self.links, self.link_server, self.events
+            self._link_address, self.store_sync, self.links, self.link_server, self.events
         )
         self.peer_sync.on_link_opened = self._connect_failures.record_success
         ports = PlatformNodeAppPorts(
             split_address(settings.caller_address)[1],
             split_address(settings.ready_address)[1],
-            metrics_port,
+            self._listeners.metrics.getsockname()[1],
         )
         self.app = PlatformNodeApp(
             settings.service,
@@ -172,13 +179,12 @@
             ports,
         )
         self.app.wait_until_stored = self.store_sync.wait_until_stored
-        addresses = (
-            settings.caller_address,
-            settings.ready_address,
-            settings.report_address,
-        )
-        sockets = [listen(*split_address(address)) for address in addresses]
-        sockets.append(listen(host, metrics_port))
+        sockets = [
+            self._listeners.callers,
+            self._listeners.ready,
+            self._listeners.reports,
+            self._listeners.metrics,
+        ]
         self.events.prometheus_metrics.collect_state = self._read_gauges
         self.server = ForwardingServer(self.app, sockets, self.body_memory, KEEP_ALIVE_SECONDS)
         self._remote_addresses: frozenset[str] = frozenset()
@@ -186,7 +192,7 @@
 
     async def start(self) -> None:
         """Listen on the links and for callers, and start the background tasks."""
-        await self.link_server.start(*split_address(self.settings.link_address))
+        await self.link_server.start_on(self._listeners.links)
         await self.server.start()
         self.store_sync.start()
         coroutine_function_by_name = {
@@ -201,7 +207,11 @@
         ]
         if not self.settings.is_first_start:
             self._tasks.append(asyncio.create_task(self.store_sync.read_departures()))
-        self.events.started(service=self.settings.service, data_centre=self.settings.data_centre)
+        self.events.started(
+            service=self.settings.service,
+            data_centre=self.settings.data_centre,
+            link_address=self._link_address,
+        )
 
     async def stop(self) -> None:
         """Stop gracefully.
@@ -321,7 +331,7 @@
             service=settings.service,
             data_centre=settings.data_centre,
             region=settings.region,
-            address=settings.link_address,
+            address=self._link_address,
             started_at=float(self.local_upstream.latest_heartbeat.started_at),
             state=InstanceState.SERVING,
         )
--- a/tests/commands/test_mesh_signals.py
+++ b/tests/commands/test_mesh_signals.py
@@ -8,12 +8,14 @@
 import unittest
 from pathlib import Path
 
-from bamboo_standins.process_fleet import free_port
-from bamboojunction.platform.node_settings import SETTINGS_FILE_VARIABLE
-from tests.adapter.test_node_settings import SETTINGS_FILE
+from tests.commands.node_program import (
+    PROGRAM,
+    end,
+    read_until,
+    start_program,
+    write_settings,
+)
 
-PROGRAM = "bamboojunction.management.commands.mesh"
-HOST = "127.0.0.1"
 PRINT_BLOCKED = "print(signal.pthread_sigmask(signal.SIG_BLOCK, []))"
 
 
@@ -29,32 +31,13 @@
 
     async def test_reload_signal_during_start_is_handled_later(self):
         with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "settings.yaml"
-            text = SETTINGS_FILE.replace(b"10.1.0.8", HOST.encode()).replace(
-                b"10.200.1.7", HOST.encode()
-            )
-            for port in (8301, 8302, 8304, 8306, 7620):
-                text = text.replace(str(port).encode(), str(free_port(HOST)).encode())
-            path.write_bytes(text)
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                PROGRAM,
-                env={SETTINGS_FILE_VARIABLE: str(path)},
-                stdout=asyncio.subprocess.PIPE,
-            )
+            path, _ = write_settings(Path(folder))
+            process = await start_program(path)
             # Gives the interpreter time to run the program's first lines, which block the signals.
             await asyncio.sleep(0.15)
             process.send_signal(signal.SIGHUP)
-            lines = []
             try:
-                async with asyncio.timeout(20.0):
-                    while not any(b"node.reloaded" in line for line in lines):
-                        line = await process.stdout.readline()
-                        self.assertTrue(line, lines)
-                        lines.append(line)
+                lines = await read_until(process, b"node.reloaded")
             finally:
-                if process.returncode is None:
-                    process.kill()
-                await process.wait()
+                await end(process)
         self.assertTrue(any(b"node.started" in line for line in lines))
