Gave the soak shapes with long stops and with losses

Cause: its shape was too mild to show what users saw: work of 20 ms, no limit on memory, stops alone. Change: shapes by name; 'stops' stops machines in turn while work of up to 3.5 s runs, 'losses' loses the answers of a service, sends bodies without end and crashing requests. New invariants: requests cut around planned work, repeats over a window, crashes of one request, memory.

--- a/bamboojunction/core/graceful_shutdown.py
+++ b/bamboojunction/core/graceful_shutdown.py
@@ -16,6 +16,9 @@
 # Period after which a call no longer counts for the longest duration of its kind, at the earliest.
 DURATION_PERIOD_SECONDS = 30.0
 
+# A call may take longer than all recent ones of its kind, by up to this factor.
+DURATION_FACTOR = 1.5
+
 # Time for the answer of a call that ends just before the node closes.
 ANSWER_MARGIN_SECONDS = 0.1
 
@@ -155,8 +158,8 @@
     def has_room(self, deadline: float, longest: float | None, now: float) -> bool:
         """Return whether a call that starts now is expected to end before the node closes.
 
-        ``longest`` is the longest duration of its kind in seconds. If it is not known, the call may
-        take until its deadline.
+        ``longest`` is the longest recent duration of its kind in seconds. If it is not known, the
+        call may take until its deadline.
         """
-        ends_at = deadline if longest is None else min(deadline, now + longest)
+        ends_at = deadline if longest is None else min(deadline, now + DURATION_FACTOR * longest)
         return ends_at + ANSWER_MARGIN_SECONDS <= self.closes_at
--- a/devtools/bamboo_bench/path/platform_hop.py
+++ b/devtools/bamboo_bench/path/platform_hop.py
@@ -21,6 +21,7 @@
 from bamboo_bench.soak.callers import KINDS, Caller, configuration
 from bamboo_bench.soak.invariants import InvariantChecker
 from bamboo_bench.soak.machines import Machine, Upstream
+from bamboo_bench.soak.shapes import MIXED
 from bamboo_standins.platform import PlatformStandIn
 
 CALLER, GATE = "caller", "gate"
@@ -85,7 +86,7 @@
         self.machine_by_role = {
             role: Machine(
                 role,
-                Upstream(service, HOST_BY_ROLE[role], self._checker, self._loop.time),
+                Upstream(service, HOST_BY_ROLE[role], self._checker, MIXED, self._loop.time),
                 DATA_CENTRE,
                 directory,
                 self._checker,
@@ -94,14 +95,16 @@
             for role, service in SERVICE_BY_ROLE.items()
         }
         machine = self.machine_by_role[CALLER]
-        self._caller = Caller([machine], self._checker, 1, self._loop.time)
+        self._caller = Caller([machine], self._checker, MIXED, 1, self._loop.time)
 
     async def start(self) -> None:
         """Start both machines, and wait until a call is served."""
         self._runner = web.AppRunner(self._platform.application(), shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, "127.0.0.1", 0).start()
-        await self._platform.write_unconditionally("config", "main", configuration(1))
+        await self._platform.write_unconditionally(
+            "config", "main", configuration(1, MIXED.deadline_seconds)
+        )
         store_address = f"127.0.0.1:{self._runner.addresses[0][1]}"
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         for machine in self.machine_by_role.values():
--- a/devtools/bamboo_bench/soak/callers.py
+++ b/devtools/bamboo_bench/soak/callers.py
@@ -11,10 +11,11 @@
 import aiohttp
 
 from bamboo_bench.soak.invariants import InvariantChecker, Request
-from bamboo_bench.soak.machines import DEADLINE_SECONDS, HOST, Machine, answer_body, request_headers
+from bamboo_bench.soak.machines import HOST, Machine, answer_body, request_headers
+from bamboo_bench.soak.shapes import Shape
 
 THINK_SECONDS = 0.03
-RETRY_AFTER_MAX_SECONDS = 0.5
+BAD_GATEWAY_STATUS = 502
 
 
 @dataclass(slots=True, frozen=True)
@@ -39,14 +40,14 @@
 )
 
 
-def configuration(version: int) -> dict:
+def configuration(version: int, deadline_seconds: float) -> dict:
     """Return a configuration with one route for each service."""
     paths = [
         {
             "name": f"r-{kind.service}",
             "path_prefix": f"/{kind.service}/",
             "kind": "non_idempotent" if kind.is_at_most_once else "idempotent",
-            "timeout_ms": int(DEADLINE_SECONDS * 1000),
+            "timeout_ms": int(deadline_seconds * 1000),
             "goal_ms": 300,
             "priority": rank,
             "service": kind.service,
@@ -60,8 +61,11 @@
 class Caller:
     """A caller that sends requests of random kinds to random machines, one at a time."""
 
-    def __init__(self, machines: list[Machine], checker: InvariantChecker, seed: int, clock):
+    def __init__(
+        self, machines: list[Machine], checker: InvariantChecker, shape: Shape, seed: int, clock
+    ):
         self._machines = machines
+        self._shape = shape
         self._checker = checker
         self._random = random.Random(seed)
         self._clock = clock
@@ -76,25 +80,44 @@
                 await self.call(session, machine, kind)
                 await asyncio.sleep(THINK_SECONDS)
 
-    async def call(self, session: aiohttp.ClientSession, machine: Machine, kind: Kind) -> bool:
-        """Send one request, check its answer and return whether its status was 200."""
+    async def call(
+        self, session: aiohttp.ClientSession, machine: Machine, kind: Kind, suffix: str = ""
+    ) -> bool:
+        """Send one request, check its answer and return whether its status was 200.
+
+        ``suffix`` is appended to the path of the kind.
+        """
         request_id = f"{self._random.getrandbits(64):016x}"
-        deadline = self._clock() + DEADLINE_SECONDS
+        path = kind.path + suffix
+        seconds = self._shape.deadline_seconds
+        sent_at = self._clock()
         request = Request(
-            kind.service, kind.is_at_most_once, kind.path, deadline, machine.is_undisturbed
+            kind.service, kind.is_at_most_once, path, sent_at + seconds, machine.is_undisturbed
         )
         self._checker.record_request(request_id, request)
-        url = f"http://{machine.caller_address}{kind.path}"
-        headers = request_headers(request_id, DEADLINE_SECONDS)
+        self._checker.record_sent(kind.service, sent_at)
+        url = f"http://{machine.caller_address}{path}"
+        headers = request_headers(request_id, seconds)
         try:
-            async with asyncio.timeout(DEADLINE_SECONDS):
+            async with asyncio.timeout(seconds):
                 async with session.request(kind.method, url, headers=headers) as answer:
                     body = await answer.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             self.count_by_outcome[type(error).__name__] += 1
+            if not isinstance(error, TimeoutError):
+                self._check_end(request_id, type(error).__name__, sent_at, machine)
             return False
+        if answer.status == BAD_GATEWAY_STATUS:
+            self._check_end(request_id, str(answer.status), sent_at, machine)
         has_stamp = "Bamboojunction-Server-Stamp" in answer.headers
-        expected = answer_body(request_id, kind.path) if has_stamp else None
+        expected = answer_body(request_id, path) if has_stamp else None
         self._checker.check_answer(request_id, answer.status, body, expected)
         self.count_by_outcome[str(answer.status)] += 1
         return answer.status == 200
+
+    def _check_end(self, request_id: str, outcome: str, sent_at: float, machine: Machine) -> None:
+        """Check a request without an answer of an upstream, where all faults are planned work."""
+        if self._shape.is_planned_work:
+            self._checker.check_cut(
+                request_id, outcome, sent_at, self._clock(), machine.stop_began_at
+            )
--- a/devtools/bamboo_bench/soak/command.py
+++ b/devtools/bamboo_bench/soak/command.py
@@ -16,23 +16,25 @@
 from bamboo_bench.soak.callers import KINDS, Caller, configuration
 from bamboo_bench.soak.faults import FaultInjector
 from bamboo_bench.soak.invariants import InvariantChecker
-from bamboo_bench.soak.machines import Machine, Upstream
+from bamboo_bench.soak.machines import CRASHING_SUFFIX, Machine, Upstream
+from bamboo_bench.soak.shapes import MIXED, SHAPE_BY_NAME, Shape
 from bamboo_standins.platform import PlatformStandIn, StoreFaults
 
 # The service of each machine.
 SERVICES = ("menu", "pay", "stock", "menu", "pay", "stock")
 DATA_CENTRES = ("lac", "sakiet")
-CALLER_COUNT = 12
 STARTUP_TIMEOUT_SECONDS = 20.0
 RECOVERY_TIMEOUT_SECONDS = 15.0
 POLL_SECONDS = 0.2
+MEMORY_CHECK_SECONDS = 0.1
 
 
 class SoakTest:
     """A soak test of machines under load and seeded faults."""
 
-    def __init__(self, directory: Path, seed: int):
+    def __init__(self, directory: Path, seed: int, shape: Shape = MIXED):
         self._directory = directory
+        self._shape = shape
         self._seed = seed
         self._platform = PlatformStandIn()
         self._configuration_versions = itertools.count(1)
@@ -63,7 +65,7 @@
         await self._write_configuration()
         for number, service in enumerate(SERVICES):
             host = f"127.30.{self._seed % 250}.{number + 1}"
-            upstream = Upstream(service, host, self.checker, self._loop.time)
+            upstream = Upstream(service, host, self.checker, self._shape, self._loop.time)
             name = f"{service}-{number}"
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             self.machines.append(
@@ -73,21 +75,42 @@
 
     async def _run_load(self, seconds: float) -> None:
         stop = asyncio.Event()
-        callers = [self._create_caller(number) for number in range(CALLER_COUNT)]
+        callers = [self._create_caller(number) for number in range(self._shape.caller_count)]
         tasks = [asyncio.create_task(caller.run(stop)) for caller in callers]
+        # One caller for all of them, as its seed gives the ids of its requests.
+        self._crashing_caller = self._create_caller(self._shape.caller_count + 1)
+        memory_task = asyncio.create_task(self._check_memory())
         injector = FaultInjector(
-            self.machines, self._platform, self._change_configuration, self._seed
+            self.machines,
+            self._platform,
+            self._change_configuration,
+            self._send_crashing_request,
+            self._shape,
+            self._seed,
         )
         await injector.run(seconds)
         stop.set()
         await asyncio.gather(*tasks)
+        memory_task.cancel()
         self.faults = injector.count_by_fault
         for caller in callers:
             self.outcomes += caller.count_by_outcome
 
     def _create_caller(self, number: int) -> Caller:
         seed = self._seed * 1000 + number
-        return Caller(self.machines, self.checker, seed, self._loop.time)
+        return Caller(self.machines, self.checker, self._shape, seed, self._loop.time)
+
+    async def _check_memory(self) -> None:
+        while True:
+            for machine in self.machines:
+                machine.check_memory()
+            await asyncio.sleep(MEMORY_CHECK_SECONDS)
+
+    async def _send_crashing_request(self, machine: Machine, number: int) -> None:
+        """Send a read that crashes each upstream that runs it, the same one for each number."""
+        suffix = f"{CRASHING_SUFFIX}/{number}"
+        async with aiohttp.ClientSession() as session:
+            await self._crashing_caller.call(session, machine, KINDS[0], suffix)
 
     def _change_configuration(self) -> None:
         task = asyncio.create_task(self._write_configuration())
@@ -96,7 +119,9 @@
 
     async def _write_configuration(self) -> None:
         await self._platform.write_unconditionally(
-            "config", "main", configuration(next(self._configuration_versions))
+            "config",
+            "main",
+            configuration(next(self._configuration_versions), self._shape.deadline_seconds),
         )
 
     async def _clear_faults(self) -> None:
@@ -110,7 +135,7 @@
 
         Record a violation for each node and path that is not served within ``seconds``.
         """
-        caller = self._create_caller(CALLER_COUNT)
+        caller = self._create_caller(self._shape.caller_count)
         unserved = {
             (machine.name, kind.path): (machine, kind)
             for machine in self.machines
@@ -119,9 +144,14 @@
         deadline = self._loop.time() + seconds
         async with aiohttp.ClientSession() as session:
             while unserved and self._loop.time() < deadline:
-                for key, (machine, kind) in list(unserved.items()):
-                    if await caller.call(session, machine, kind):
-                        del unserved[key]
+                are_served = await asyncio.gather(
+                    *(caller.call(session, machine, kind) for machine, kind in unserved.values())
+                )
+                unserved = {
+                    key: unserved[key]
+                    for key, is_served in zip(list(unserved), are_served, strict=True)
+                    if not is_served
+                }
                 await asyncio.sleep(POLL_SECONDS)
         for name, path in unserved:
             self.checker.check_recovery(f"{phase} {name}", path, False)
@@ -136,6 +166,7 @@
         option(
             "seconds", None, "Seconds of load and faults for each seed", flag=False, default="20"
         ),
+        option("shape", None, "Shape: mixed, stops or losses", flag=False, default="mixed"),
         option("seed", None, "First seed; 0 uses the current time", flag=False, default="0"),
         option(
             "seeds", None, "Number of seeds to run, one after the other", flag=False, default="1"
@@ -160,10 +191,11 @@
     async def _run(self, seed: int) -> int:
         with tempfile.TemporaryDirectory() as temporary:
             directory = Path(self.option("keep") or temporary)
-            soak = SoakTest(directory, seed)
+            soak = SoakTest(directory, seed, SHAPE_BY_NAME[self.option("shape")])
             await soak.run(float(self.option("seconds")))
         self.line(
-            f"seed {seed} answers {json.dumps(soak.outcomes)} faults {json.dumps(soak.faults)}"
+            f"seed {seed} answers {json.dumps(soak.outcomes)} faults {json.dumps(soak.faults)} "
+            f"peak {max(each.memory_peak_bytes for each in soak.machines) // 1_000_000} MB"
         )
         for violation in soak.checker.violations:
             self.line(f"seed {seed} BROKEN {violation}")
--- a/devtools/bamboo_bench/soak/faults.py
+++ b/devtools/bamboo_bench/soak/faults.py
@@ -6,14 +6,17 @@
 from collections import Counter
 
 from bamboo_bench.soak.machines import Machine
+from bamboo_bench.soak.shapes import Shape
 from bamboo_standins.fault_proxy import Direction, ProxyFaults
 from bamboo_standins.platform import PlatformStandIn, StoreFaults
 
 FAULT_SECONDS_MIN = 0.2
 FAULT_SECONDS_MAX = 3.0
 PAUSE_SECONDS_MAX = 1.5
-# Faults that are in progress at the same time.
-CONCURRENT_FAULTS = 3
+STOP_GAP_SECONDS = 2.0
+# A crashing request comes again this often, with this time in between.
+CRASHING_REQUESTS = 4
+CRASHING_REQUEST_GAP_SECONDS = 1.5
 PROXY_FAULTS = (
     ProxyFaults(cut=True),
     ProxyFaults(stall=True),
@@ -34,9 +37,17 @@
     """A seeded random source of faults that injects them and counts them by name."""
 
     def __init__(
-        self, machines: list[Machine], platform: PlatformStandIn, change_configuration, seed: int
+        self,
+        machines: list[Machine],
+        platform: PlatformStandIn,
+        change_configuration,
+        send_crashing_request,
+        shape: Shape,
+        seed: int,
     ):
         self._machines = machines
+        self._shape = shape
+        self._send_crashing_request_to = send_crashing_request
         self._platform = platform
         self._change_configuration = change_configuration
         self._random = random.Random(seed)
@@ -57,17 +68,25 @@
             self._harm_store,
             self._forget_history,
             self._configure,
+            self._stop_nodes_in_turn,
+            self._lose_answers_of_service,
+            self._send_endless_bodies,
+            self._send_crashing_request,
         )
+        by_name = {_name_of(fault): fault for fault in self._faults}
+        self._faults = tuple(by_name[name] for name in shape.fault_names)
 
     async def run(self, seconds: float) -> None:
         """Inject concurrent faults for a time in seconds, then wait until each has ended."""
         ends_at = asyncio.get_running_loop().time() + seconds
-        await asyncio.gather(*(self._inject_faults(ends_at) for _ in range(CONCURRENT_FAULTS)))
+        await asyncio.gather(
+            *(self._inject_faults(ends_at) for _ in range(self._shape.concurrent_faults))
+        )
 
     async def _inject_faults(self, ends_at: float) -> None:
         while asyncio.get_running_loop().time() < ends_at:
             fault = self._random.choice(self._faults)
-            self.count_by_fault[fault.__name__.strip("_").replace("_", "-")] += 1
+            self.count_by_fault[_name_of(fault)] += 1
             await fault(self._random.choice(self._machines))
             await asyncio.sleep(self._random.uniform(0.0, 1.0))
 
@@ -77,6 +96,40 @@
     async def _stop_node(self, machine: Machine) -> None:
         await machine.restart_node(signal.SIGTERM)
 
+    async def _stop_nodes_in_turn(self, machine: Machine) -> None:
+        """Stop several machines one after the other, each before the one ahead has ended."""
+        stopped = self._random.sample(self._machines, self._random.randint(1, 3))
+        restarts = []
+        for each in stopped:
+            restarts.append(asyncio.create_task(each.restart_node(signal.SIGTERM)))
+            await asyncio.sleep(STOP_GAP_SECONDS)
+        await asyncio.gather(*restarts)
+
+    async def _lose_answers_of_service(self, machine: Machine) -> None:
+        """Lose the answers of all instances of a service."""
+        upstreams = [
+            each.upstream
+            for each in self._machines
+            if each.upstream.service == machine.upstream.service
+        ]
+        for upstream in upstreams:
+            upstream.loses_answers = True
+        await self._wait_for_fault_duration()
+        for upstream in upstreams:
+            upstream.loses_answers = False
+
+    async def _send_endless_bodies(self, machine: Machine) -> None:
+        machine.upstream.sends_endless_bodies = True
+        await self._wait_for_fault_duration()
+        machine.upstream.sends_endless_bodies = False
+
+    async def _send_crashing_request(self, machine: Machine) -> None:
+        """Send a request that crashes each upstream that runs it, several times."""
+        number = self._random.getrandbits(32)
+        for _ in range(CRASHING_REQUESTS):
+            await self._send_crashing_request_to(machine, number)
+            await asyncio.sleep(CRASHING_REQUEST_GAP_SECONDS)
+
     async def _kill_node(self, machine: Machine) -> None:
         await machine.restart_node(signal.SIGKILL)
 
@@ -135,3 +188,7 @@
 
     async def _configure(self, machine: Machine) -> None:
         self._change_configuration()
+
+
+def _name_of(fault) -> str:
+    return fault.__name__.strip("_").replace("_", "-")
--- a/devtools/bamboo_bench/soak/invariants.py
+++ b/devtools/bamboo_bench/soak/invariants.py
@@ -1,5 +1,7 @@
 """The invariants of a soak test, checked on the requests that callers send and upstreams run."""
 
+from bisect import bisect_left, bisect_right
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -11,6 +13,17 @@
 LATE_RUNS_MAX = 20
 LATE_SHARE_MAX = 0.2
 DRAIN_GRACE_SECONDS = 2.0
+# A cut is excused in the last sixth of a stop's grace time, if the request was sent within the
+# first seconds of the stop.
+GRACE_SECONDS = 6.0
+EXCUSED_AFTER_SECONDS = GRACE_SECONDS * 5 / 6
+EXCUSED_SENT_SECONDS = 3.0
+# The limit on repeats of a service, summed over all nodes, in any window.
+REPEAT_RATIO = 0.2
+REPEAT_SLACK = 48
+REPEAT_WINDOW_SECONDS = 10.0
+# A request that crashes its upstreams may reach some more after the third crash.
+CRASHES_MAX = 3 + 3
 
 
 @dataclass(slots=True)
@@ -39,6 +52,47 @@
         self._request_by_id: dict[str, Request] = {}
         self._runs = 0
         self._late_runs = 0
+        self._sent_at_by_service: dict[str, list[float]] = {}
+        self._repeated_at_by_service: dict[str, list[float]] = {}
+        self._crashes_by_path: Counter[str] = Counter()
+
+    def record_sent(self, service: str, now: float) -> None:
+        """Record that a caller sends a request for a service."""
+        self._sent_at_by_service.setdefault(service, []).append(now)
+
+    def record_crash(self, path: str) -> None:
+        """Record that a request crashed an upstream."""
+        self._crashes_by_path[path] += 1
+
+    def check_memory(self, node: str, used_bytes: int, limit_bytes: int) -> None:
+        """Check the resident memory of a node's process."""
+        if used_bytes > limit_bytes:
+            self._record_violation("memory", node, f"{used_bytes} bytes of {limit_bytes}")
+
+    def check_cut(
+        self,
+        request_id: str,
+        outcome: str,
+        sent_at: float,
+        now: float,
+        stop_began_at: float | None,
+    ) -> None:
+        """Check a request that ended without an upstream's answer while all faults are planned.
+
+        ``stop_began_at`` is when the stop of the node that took the request began, None if it is
+        not being stopped.
+        """
+        request = self._request_by_id[request_id]
+        is_excused = (
+            stop_began_at is not None
+            and now >= stop_began_at + EXCUSED_AFTER_SECONDS
+            and sent_at <= stop_began_at + EXCUSED_SENT_SECONDS
+        )
+        if request.runs and now < request.deadline and not is_excused:
+            where = "at a calm node" if stop_began_at is None else "at a stopping node"
+            self._record_violation(
+                "lost", request_id, f"{outcome} {now - sent_at:.2f} s after it was sent {where}"
+            )
 
     def record_request(self, request_id: str, request: Request) -> None:
         """Record a request before its caller sends it."""
@@ -63,6 +117,8 @@
             self._record_violation("unasked", request_id, f"{service} ran {path}")
             return
         request.runs += 1
+        if request.runs > 1:
+            self._repeated_at_by_service.setdefault(service, []).append(now)
         if request.service != service:
             self._record_violation(
                 "route", request_id, f"ran at {service} instead of {request.service}"
@@ -106,6 +162,26 @@
         if self._late_runs > max(LATE_RUNS_MAX, LATE_SHARE_MAX * self._runs):
             detail = f"{self._late_runs} of {self._runs} runs were given more time than was left"
             self._record_violation("deadline", "all", detail)
+        for service, times in self._repeated_at_by_service.items():
+            self._check_repeats(service, times)
+        for path, crashes in self._crashes_by_path.items():
+            if crashes > CRASHES_MAX:
+                self._record_violation("poison", path, f"{crashes} crashes")
+
+    def _check_repeats(self, service: str, times: list[float]) -> None:
+        """Check the repeats in each window that ends with one of them."""
+        sent_times = self._sent_at_by_service.get(service, [])
+        for end in times:
+            repeats = _count_between(times, end - REPEAT_WINDOW_SECONDS, end)
+            requests = max(
+                _count_between(sent_times, end - back - REPEAT_WINDOW_SECONDS, end - back)
+                for back in (0.0, REPEAT_WINDOW_SECONDS / 2, REPEAT_WINDOW_SECONDS)
+            )
+            allowed = REPEAT_RATIO * requests + REPEAT_SLACK
+            if repeats > allowed:
+                detail = f"{repeats} repeats for {requests} requests, {allowed:.0f} are allowed"
+                self._record_violation("budget", service, detail)
+                return
 
     def record_exit(self, node: str, status: int) -> None:
         """Record the unexpected exit of a node's process as a violation."""
@@ -118,3 +194,8 @@
 
     def _record_violation(self, invariant: str, request_id: str, detail: str) -> None:
         self.violations.append(f"{invariant}: {request_id}: {detail}")
+
+
+def _count_between(times: list[float], start: float, end: float) -> int:
+    """Return the number of times from ``start`` to ``end`` in an ascending list."""
+    return bisect_right(times, end) - bisect_left(times, start)
--- a/devtools/bamboo_bench/soak/machines.py
+++ b/devtools/bamboo_bench/soak/machines.py
@@ -4,6 +4,8 @@
 import contextlib
 import itertools
 import json
+import os
+import random
 import signal
 import sys
 import time
@@ -14,6 +16,7 @@
 from aiohttp import web
 
 from bamboo_bench.soak.invariants import InvariantChecker, Request
+from bamboo_bench.soak.shapes import Shape
 from bamboo_standins.fault_proxy import FaultProxy
 from bamboo_standins.process_fleet import free_port
 
@@ -24,9 +27,14 @@
 STOP_TIMEOUT_SECONDS = GRACE_SECONDS + 2.0
 RESTART_DELAY_SECONDS = 0.2
 SLOTS = 8
-WORK_SECONDS = 0.02
-DEADLINE_SECONDS = 1.5
+# The limit of the settings on the memory of a node's process.
+MEMORY_MB = 300
+CHILD_SUFFIX = "/inner"
+CRASHING_SUFFIX = "/crashing"
+CRASH_SECONDS = 2.0
+ENDLESS_PIECE = b"8000\r\n" + b"x" * 0x8000 + b"\r\n"
 NODE_MODULE = "bamboojunction.management.commands.mesh"
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 # A node counts as undisturbed again this long after a pause.
 PAUSE_RECOVERY_SECONDS = 3.0
 # The service that each service calls while it runs a request.
@@ -46,8 +54,16 @@
     """
 
     def __init__(
-        self, service: str, host: str, checker: InvariantChecker, clock: Callable[[], float]
+        self,
+        service: str,
+        host: str,
+        checker: InvariantChecker,
+        shape: Shape,
+        clock: Callable[[], float],
     ):
+        self._shape = shape
+        self._random = random.Random(host)
+        self.sends_endless_bodies = False
         self.service = service
         self.host = host
         self.report_address = ""
@@ -72,9 +88,10 @@
         app.router.add_route("*", "/{path:.*}", self._handle)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
-        port = free_port(self.host)
-        await web.TCPSite(self._runner, self.host, port).start()
-        return f"{self.host}:{port}"
+        self._port = free_port(self.host)
+        self._site = web.TCPSite(self._runner, self.host, self._port)
+        await self._site.start()
+        return f"{self.host}:{self._port}"
 
     def start_heartbeats(self) -> None:
         """Start reporting to the node of this machine, until closed."""
@@ -147,7 +164,7 @@
         request_id = request.headers["Bamboojunction-Request-Id"]
         headers = {"Bamboojunction-Request-Id": request_id, "Bamboojunction-Server-Stamp": "s"}
         if not self._is_up:
-            request.transport.abort()
+            _abort(request)
             return web.Response()
         if request.headers["Bamboojunction-Expect-Instance"] != self.instance_id:
             return web.Response(status=421, headers=headers)
@@ -155,10 +172,16 @@
         self._checker.check_run(
             request_id, self.service, request.path, self._clock(), remaining, self.drained_at
         )
+        if CRASHING_SUFFIX in request.path:
+            self._checker.record_crash(request.path)
+            self._crash_task = asyncio.create_task(self._end_server(CRASH_SECONDS))
+            await asyncio.sleep(CRASH_SECONDS)
         status = await self._call_dependency(request_id, remaining)
-        await asyncio.sleep(WORK_SECONDS + self.slow_seconds)
+        await asyncio.sleep(self._work_seconds(request.path) + self.slow_seconds)
+        if self.sends_endless_bodies:
+            await self._send_without_end(request, request_id)
         if self.loses_answers or not self._is_up:
-            request.transport.abort()
+            _abort(request)
         body = answer_body(request_id, request.path)
         response = web.Response(status=status, body=body, headers=headers)
         if self.sends_extra_answers:
@@ -169,13 +192,46 @@
                 request.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore")
         return response
 
+    def _work_seconds(self, path: str) -> float:
+        if path.endswith(CHILD_SUFFIX):
+            return self._shape.work_seconds_min
+        return self._random.uniform(self._shape.work_seconds_min, self._shape.work_seconds_max)
+
+    async def _end_server(self, seconds: float) -> None:
+        """Stop listening and break all connections, then come back as a new incarnation."""
+        if not self._is_up:
+            return
+        self._is_up = False
+        await self._site.stop()
+        for connection in list(self._runner.server.connections):
+            connection.force_close()
+        await asyncio.sleep(seconds)
+        self._begin_incarnation()
+        self._site = web.TCPSite(self._runner, self.host, self._port)
+        await self._site.start()
+        self._is_up = True
+
+    async def _send_without_end(self, request: web.Request, request_id: str) -> None:
+        """Send a body that ends only when the node closes the connection."""
+        transport = request.transport
+        if transport is None:
+            return
+        transport.write(
+            f"HTTP/1.1 200 OK\r\nBamboojunction-Request-Id: {request_id}\r\n"
+            "Bamboojunction-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < len(ENDLESS_PIECE):
+                transport.write(ENDLESS_PIECE)
+            await asyncio.sleep(0.001)
+
     async def _call_dependency(self, parent: str, remaining: float) -> int:
         """Call the service that this one depends on, and return the status to answer with."""
         service = CALLEE_BY_SERVICE.get(self.service)
         if service is None:
             return 200
         request_id = f"{parent}.{next(self._child_numbers)}"
-        path = f"/{service}/inner"
+        path = f"/{service}{CHILD_SUFFIX}"
         deadline = self._clock() + remaining
         self._checker.record_request(request_id, Request(service, False, path, deadline))
         headers = request_headers(request_id, remaining)
@@ -188,6 +244,12 @@
             return 500
 
 
+def _abort(request: web.Request) -> None:
+    """Close the connection of a request without an answer, unless it is closed."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
 def request_headers(request_id: str, remaining: float) -> dict[str, str]:
     """Return the headers of a request that has ``remaining`` seconds left."""
     return {
@@ -216,6 +278,8 @@
         self.upstream = upstream
         self.caller_address = ""
         self.is_down = False
+        self.stop_began_at: float | None = None
+        self.memory_peak_bytes = 0
         self._checker = checker
         self._disturbed_until = 0.0
         self._loop = asyncio.get_running_loop()
@@ -244,6 +308,7 @@
                 "ip": host,
                 "app_addr": f"{host}:{upstream_port}",
                 "service": self.upstream.service,
+                "limits": {"memory_mb": MEMORY_MB},
             },
             "network": {"listen": listen, "port_range": [port, port]},
             "provider": {"provider": {"address": f"{host}:{store_port}"}},
@@ -303,6 +368,8 @@
     async def terminate_node(self, signal_number: signal.Signals) -> None:
         """Terminate the node's process with a signal; kill it if it does not exit in time."""
         self.is_down = True
+        if signal_number is signal.SIGTERM:
+            self.stop_began_at = self._loop.time()
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal_number)
         try:
@@ -311,6 +378,18 @@
         except TimeoutError:
             self.send_signal(signal.SIGKILL)
             await self._process.wait()
+        self.stop_began_at = None
+
+    def check_memory(self) -> None:
+        """Check the resident memory of the node's process against its limit."""
+        try:
+            pages = int(Path(f"/proc/{self.process_id}/statm").read_text().split()[1])
+        except (OSError, IndexError):
+            # The process has just ended.
+            return
+        used_bytes = pages * PAGE_BYTES
+        self.memory_peak_bytes = max(self.memory_peak_bytes, used_bytes)
+        self._checker.check_memory(self.name, used_bytes, MEMORY_MB * 1_000_000)
 
     async def restart_node(self, signal_number: signal.Signals) -> None:
         """Terminate the node's process and start it again."""
--- a/tests/graceful_shutdown/test_graceful_shutdown.py
+++ b/tests/graceful_shutdown/test_graceful_shutdown.py
@@ -72,9 +72,13 @@
         self.window = StopWindow(10.0)
 
     def test_call_of_known_length_is_taken_while_it_ends_in_time(self):
-        self.assertTrue(self.window.has_room(deadline=20.0, longest=3.0, now=6.0))
+        self.assertTrue(self.window.has_room(deadline=20.0, longest=3.0, now=5.0))
         self.assertFalse(self.window.has_room(deadline=20.0, longest=3.0, now=7.0))
 
+    def test_call_may_take_longer_than_the_recent_ones(self):
+        """A call that outlasted all recent ones of its kind was cut off."""
+        self.assertFalse(self.window.has_room(deadline=20.0, longest=3.0, now=6.5))
+
     def test_deadline_bounds_a_call(self):
         self.assertTrue(self.window.has_room(deadline=9.0, longest=30.0, now=6.0))
         self.assertTrue(self.window.has_room(deadline=9.0, longest=None, now=6.0))
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -2,7 +2,14 @@
 
 import unittest
 
-from bamboo_bench.soak.invariants import LATE_RUNS_MAX, InvariantChecker, Request
+from bamboo_bench.soak.invariants import (
+    CRASHES_MAX,
+    LATE_RUNS_MAX,
+    REPEAT_RATIO,
+    REPEAT_SLACK,
+    InvariantChecker,
+    Request,
+)
 
 
 class InvariantCheckerTests(unittest.TestCase):
@@ -31,6 +38,56 @@
         self.checker.finish()
         self.assertEqual(self.violated(), [])
 
+    def test_repeats_beyond_the_limit_of_a_window(self):
+        allowed = int(REPEAT_SLACK + REPEAT_RATIO * 100)
+        for number in range(100):
+            self.send(f"r{number}", is_at_most_once=False)
+            self.checker.record_sent("pay", 5.0)
+            self.run_once(f"r{number}", now=5.0)
+        for number in range(allowed):
+            self.run_once(f"r{number}", now=6.0)
+        self.checker.finish()
+        self.assertEqual(self.violated(), [])
+        self.run_once("r99", now=7.0)
+        self.checker.finish()
+        self.assertEqual(self.violated(), ["budget"])
+
+    def test_repeats_of_windows_apart_are_not_summed(self):
+        for start in (-100.0, 0.0):
+            for number in range(int(REPEAT_SLACK)):
+                self.send(f"{start}-{number}", is_at_most_once=False)
+                for _ in range(2):
+                    self.run_once(f"{start}-{number}", now=start + 5.0)
+        self.checker.finish()
+        self.assertEqual(self.violated(), [])
+
+    def test_request_that_crashes_more_upstreams_than_allowed(self):
+        for _ in range(CRASHES_MAX):
+            self.checker.record_crash("/menu/crashing/1")
+        self.checker.finish()
+        self.assertEqual(self.violated(), [])
+        self.checker.record_crash("/menu/crashing/1")
+        self.checker.finish()
+        self.assertEqual(self.violated(), ["poison"])
+
+    def test_process_beyond_its_memory(self):
+        self.checker.check_memory("n", 100, 100)
+        self.assertEqual(self.violated(), [])
+        self.checker.check_memory("n", 101, 100)
+        self.assertEqual(self.violated(), ["memory"])
+
+    def test_request_that_is_cut_around_planned_work(self):
+        self.checker.check_cut("a", "502", 5.0, 6.0, 4.0)
+        self.assertEqual(self.violated(), [])
+        self.run_once()
+        # In the last sixth of the grace time, and past the deadline.
+        self.checker.check_cut("a", "502", 3.0, 9.5, 4.0)
+        self.checker.check_cut("a", "502", 3.0, 10.5, None)
+        self.assertEqual(self.violated(), [])
+        self.checker.check_cut("a", "502", 5.0, 6.0, 4.0)
+        self.checker.check_cut("a", "ServerDisconnectedError", 7.5, 9.5, 4.0)
+        self.assertEqual(self.violated(), ["lost", "lost"])
+
     def test_work_that_ran_twice(self):
         self.run_once()
         self.run_once()
