Split the upstreams of the soak and the tests of stops from larger modules

Measured: tests.platform_node.test_path and test_stops, 34 tests as before, and tests.docs pass; product code is unchanged.

--- a/devtools/bamboo_bench/path/platform_hop.py
+++ b/devtools/bamboo_bench/path/platform_hop.py
@@ -20,8 +20,9 @@
 from bamboo_bench.path.report import quantile
 from bamboo_bench.soak.callers import KINDS, Caller, configuration
 from bamboo_bench.soak.invariants import InvariantChecker
-from bamboo_bench.soak.machines import Machine, Upstream
+from bamboo_bench.soak.machines import Machine
 from bamboo_bench.soak.shapes import MIXED
+from bamboo_bench.soak.upstreams import Upstream
 from bamboo_standins.platform import PlatformStandIn
 
 CALLER, GATE = "caller", "gate"
--- a/devtools/bamboo_bench/soak/callers.py
+++ b/devtools/bamboo_bench/soak/callers.py
@@ -11,8 +11,9 @@
 import aiohttp
 
 from bamboo_bench.soak.invariants import InvariantChecker, Request
-from bamboo_bench.soak.machines import HOST, Machine, answer_body, request_headers
+from bamboo_bench.soak.machines import Machine
 from bamboo_bench.soak.shapes import Shape
+from bamboo_bench.soak.upstreams import HOST, answer_body, request_headers
 
 THINK_SECONDS = 0.03
 BAD_GATEWAY_STATUS = 502
--- a/devtools/bamboo_bench/soak/command.py
+++ b/devtools/bamboo_bench/soak/command.py
@@ -16,8 +16,9 @@
 from bamboo_bench.soak.callers import KINDS, Caller, configuration
 from bamboo_bench.soak.faults import FaultInjector
 from bamboo_bench.soak.invariants import InvariantChecker
-from bamboo_bench.soak.machines import CRASHING_SUFFIX, Machine, Upstream
+from bamboo_bench.soak.machines import Machine
 from bamboo_bench.soak.shapes import MIXED, SHAPE_BY_NAME, Shape
+from bamboo_bench.soak.upstreams import CRASHING_SUFFIX, Upstream
 from bamboo_standins.platform import PlatformStandIn, StoreFaults
 
 # The service of each machine.
