Handed stopping gates no charges that they may not finish

Cause: a stopping gate took calls by 1.5 times the longest recent call of their kind. A process that had just started knew three calls of a kind whose work is spread from 0.02 to 3.5 s. A charge that is cut is lost, a refused one moves to another gate within 2 ms, so an estimate is no ground to take it.

Change: calls that may run once are taken at a stopping gate only if they end by their deadline. The estimate, for all other calls, needs twenty recent calls of the kind; the next of n+1 equally distributed durations is the longest with probability 1/(n+1).

test_stopping_gate_serves_calls_that_it_can_finish took a charge with 10 s left by an estimate, which is the fault; it asks now for a charge within its deadline and a read within its estimate, and the refusal of the former has a test of its own. test_stopping_node_finishes_accepted_requests sends twenty requests before the stop, as one no longer gives an estimate.

Evidence: the new tests printed "200 != 503" (twice), "0.1 is not None" and a missing method before.

--- a/bamboojunction/core/graceful_shutdown.py
+++ b/bamboojunction/core/graceful_shutdown.py
@@ -19,6 +19,10 @@
 # A call may take longer than all recent ones of its kind, by up to this factor.
 DURATION_FACTOR = 1.5
 
+# Recent calls of a kind that tell its longest duration. Of durations from one distribution, the
+# next one exceeds the longest of n with a probability of 1 / (n + 1).
+DURATION_SAMPLES_MIN = 20
+
 # Time for the answer of a call that ends just before the node closes.
 ANSWER_MARGIN_SECONDS = 0.1
 
@@ -111,6 +115,14 @@
         return max(peers_notified_at, work.last_key_settled_at + DUPLICATE_GRACE_SECONDS)
 
 
+@dataclass(slots=True)
+class DurationSamples:
+    """The number of calls of a kind in one period, and their longest duration in seconds."""
+
+    count: int = 0
+    longest: float = 0.0
+
+
 class CallDurations:
     """The longest duration of the recent calls of each kind.
 
@@ -121,19 +133,24 @@
 
     def __init__(self, now: float):
         self._period_started_at = now
-        self._current_by_kind: dict[str, float] = {}
-        self._previous_by_kind: dict[str, float] = {}
+        self._current_by_kind: dict[str, DurationSamples] = {}
+        self._previous_by_kind: dict[str, DurationSamples] = {}
 
     def record(self, kind: str, seconds: float, now: float) -> None:
         """Record how long a call took."""
         self._start_period(now)
-        self._current_by_kind[kind] = max(seconds, self._current_by_kind.get(kind, 0.0))
+        samples = self._current_by_kind.setdefault(kind, DurationSamples())
+        samples.count += 1
+        samples.longest = max(samples.longest, seconds)
 
     def longest(self, kind: str, now: float) -> float | None:
-        """Return the longest duration in seconds, or None if no recent call is known."""
+        """Return the longest duration in seconds, or None if too few recent calls are known."""
         self._start_period(now)
-        durations = (self._current_by_kind.get(kind), self._previous_by_kind.get(kind))
-        return max((seconds for seconds in durations if seconds is not None), default=None)
+        periods = (self._current_by_kind.get(kind), self._previous_by_kind.get(kind))
+        samples = [each for each in periods if each is not None]
+        if sum(each.count for each in samples) < DURATION_SAMPLES_MIN:
+            return None
+        return max(each.longest for each in samples)
 
     def _start_period(self, now: float) -> None:
         elapsed = now - self._period_started_at
@@ -155,11 +172,16 @@
 
     closes_at: float
 
+    def ends_within(self, deadline: float) -> bool:
+        """Return whether a call ends before the node closes, however long it takes."""
+        return deadline + ANSWER_MARGIN_SECONDS <= self.closes_at
+
     def has_room(self, deadline: float, longest: float | None, now: float) -> bool:
         """Return whether a call that starts now is expected to end before the node closes.
 
         ``longest`` is the longest recent duration of its kind in seconds. If it is not known, the
         call may take until its deadline.
         """
-        ends_at = deadline if longest is None else min(deadline, now + DURATION_FACTOR * longest)
-        return ends_at + ANSWER_MARGIN_SECONDS <= self.closes_at
+        if longest is None:
+            return self.ends_within(deadline)
+        return self.ends_within(min(deadline, now + DURATION_FACTOR * longest))
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -194,14 +194,22 @@
 
     def _refusal_before_start(self, call: Call) -> NotRun | None:
         """Refuse a call that would be cut off when this node closes."""
-        now = self._loop.time()
-        if self.stop_window is None or self.stop_window.has_room(
-            call.deadline, self._durations.longest(call.kind, now), now
-        ):
+        if self.stop_window is None or self._is_safe_to_start(call, self.stop_window):
             return None
         # Shorter calls are still served, so peers must not take the instance for draining.
         return NotRun(NotRunReason.FULL, UNREACHABLE_RETRY_AFTER_SECONDS)
 
+    def _is_safe_to_start(self, call: Call, stop_window: StopWindow) -> bool:
+        """Return whether a call is not lost when this node closes.
+
+        An idempotent call that is cut off is repeated at another gate, so an estimate of its end is
+        enough. Any other call is lost, while another gate can serve it if it is refused here.
+        """
+        if self._current_table.row(call.kind).effect is not Effect.IDEMPOTENT:
+            return stop_window.ends_within(call.deadline)
+        now = self._loop.time()
+        return stop_window.has_room(call.deadline, self._durations.longest(call.kind, now), now)
+
     def _chain_refusal(self, call: Call) -> NotRun | None:
         """Refuse a call at the top of its chain if a service below would shed the chain.
 
--- a/tests/graceful_shutdown/test_graceful_shutdown.py
+++ b/tests/graceful_shutdown/test_graceful_shutdown.py
@@ -6,6 +6,7 @@
     DRAIN_NOTICE_SECONDS,
     DUPLICATE_GRACE_SECONDS,
     DURATION_PERIOD_SECONDS,
+    DURATION_SAMPLES_MIN,
     CallDurations,
     Close,
     GracefulShutdown,
@@ -65,6 +66,12 @@
         self.assertEqual(decision, Close(StopReason.FORCED, 1))
 
 
+def record_often(durations: CallDurations, kind: str, seconds: float, now: float) -> None:
+    """Record as many calls as an estimate takes."""
+    for _ in range(DURATION_SAMPLES_MIN):
+        durations.record(kind, seconds, now)
+
+
 class StopWindowTests(unittest.TestCase):
     """Calls that would be cut off at the end of a stop are refused before they start."""
 
@@ -86,23 +93,36 @@
     def test_call_of_unknown_length_may_take_until_its_deadline(self):
         self.assertFalse(self.window.has_room(deadline=11.0, longest=None, now=6.0))
 
+    def test_only_the_deadline_promises_the_end_of_a_call(self):
+        self.assertTrue(self.window.ends_within(deadline=9.0))
+        self.assertFalse(self.window.ends_within(deadline=10.0))
+
 
 class CallDurationsTests(unittest.TestCase):
     def test_longest_of_a_kind_is_kept_for_at_least_one_period(self):
         durations = CallDurations(0.0)
         for seconds, now in ((0.1, 1.0), (3.2, 2.0), (0.2, 3.0)):
-            durations.record("reserve", seconds, now)
-        durations.record("lookup", 0.1, 3.0)
+            record_often(durations, "reserve", seconds, now)
+        record_often(durations, "lookup", 0.1, 3.0)
         self.assertEqual(durations.longest("reserve", 2.0 + DURATION_PERIOD_SECONDS), 3.2)
         self.assertEqual(durations.longest("lookup", 4.0), 0.1)
         self.assertIsNone(durations.longest("charge", 4.0))
 
+    def test_few_calls_do_not_tell_the_longest_duration(self):
+        """A process that had just started expected long calls to end as soon as its first ones."""
+        durations = CallDurations(0.0)
+        for number in range(DURATION_SAMPLES_MIN - 1):
+            durations.record("reserve", 0.1, number * 0.01)
+        self.assertIsNone(durations.longest("reserve", 1.0))
+        durations.record("reserve", 0.2, 1.0)
+        self.assertEqual(durations.longest("reserve", 1.0), 0.2)
+
     def test_calls_of_earlier_periods_are_forgotten(self):
         for gap in (1.0, 2.0, 5.0):
             durations = CallDurations(0.0)
-            durations.record("reserve", 3.2, 1.0)
+            record_often(durations, "reserve", 3.2, 1.0)
             if gap == 1.0:
-                durations.record("reserve", 0.1, gap * DURATION_PERIOD_SECONDS)
+                record_often(durations, "reserve", 0.1, gap * DURATION_PERIOD_SECONDS)
                 self.assertEqual(durations.longest("reserve", 2.0 * DURATION_PERIOD_SECONDS), 0.1)
             else:
                 self.assertIsNone(durations.longest("reserve", gap * DURATION_PERIOD_SECONDS))
--- a/tests/platform_node/test_stops.py
+++ b/tests/platform_node/test_stops.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from bamboo_standins.platform import StoreFaults
+from bamboojunction.core.graceful_shutdown import DURATION_SAMPLES_MIN
 from bamboojunction.core.pause_detector import PAUSE_CHECK_INTERVAL_SECONDS
 from bamboojunction.platform_node.process import CALLER_DRAIN_SECONDS, PlatformNode
 from tests.platform_node.base import FleetTestCase
@@ -64,7 +65,8 @@
     async def test_stopping_node_finishes_accepted_requests_and_then_refuses_at_its_gate(self):
         await self.configure_and_join()
         # A call of unknown length would be refused, as it may take until its deadline.
-        await self.fleet.request("a", "/pay/x", "POST")
+        for _ in range(DURATION_SAMPLES_MIN):
+            await self.fleet.request("a", "/pay/x", "POST")
         self.upstream("c").executed.clear()
         self.upstream("c").may_respond.clear()
         loop = asyncio.get_running_loop()
@@ -86,25 +88,27 @@
         await stopping
 
     async def stop_with_calls_of(self, name: str, seconds: float) -> asyncio.Task:
-        """Begin to stop a node that knows of charges which took this long."""
+        """Begin to stop a node that knows of many calls which took this long."""
         node = self.fleet.machines[name].node
         now = asyncio.get_running_loop().time()
-        node.gate._durations.record("r-pay", seconds, now)
-        node.app._durations.record("r-pay", seconds, now)
+        for kind in ("r-menu", "r-pay") * DURATION_SAMPLES_MIN:
+            node.gate._durations.record(kind, seconds, now)
+            node.app._durations.record(kind, seconds, now)
         stopping = asyncio.create_task(node.stop())
         await self.fleet.wait_until(lambda: node.app.is_stopping)
         return stopping
 
-    async def send_long_charge(self, name: str, request_id: str = "charge"):
+    async def send_long_charge(self, name: str, request_id: str = "charge", milliseconds=10_000):
         headers = {
             "Bamboojunction-Request-Id": request_id,
-            "Bamboojunction-Deadline-Ms": "10000",
+            "Bamboojunction-Deadline-Ms": str(milliseconds),
         }
         return await self.fleet.request(name, "/pay/x", "POST", headers=headers)
 
     async def configure_long_charges(self) -> None:
         pay = route("r-pay", "/pay/", "billing", kind="non_idempotent", timeout_ms=10_000)
-        await self.fleet.configure(configuration(3, route("r-menu", "/menu/", "menu"), pay))
+        menu = route("r-menu", "/menu/", "menu", timeout_ms=10_000)
+        await self.fleet.configure(configuration(3, menu, pay))
         await self.fleet.join()
 
     async def test_stopping_gate_refuses_calls_that_it_could_not_finish(self):
@@ -115,10 +119,32 @@
         self.assertEqual(self.upstream("c").executed, [])
         await stopping
 
-    async def test_stopping_gate_serves_calls_that_it_can_finish(self):
+    async def test_stopping_gate_refuses_charges_whose_deadline_it_would_not_reach(self):
+        """A charge that outlasted the recent ones was cut off when the gate of its peer closed."""
         await self.configure_long_charges()
         stopping = await self.stop_with_calls_of("c", 0.2)
+        self.assertEqual((await self.send_long_charge("a"))[0], 503)
+        self.assertEqual(self.upstream("c").executed, [])
+        await stopping
+
+    async def test_stopping_gate_serves_calls_that_it_can_finish(self):
+        await self.configure_long_charges()
+        headers = {"Bamboojunction-Deadline-Ms": "10000"}
+        stops = [await self.stop_with_calls_of(name, 0.2) for name in "abc"]
+        self.assertEqual((await self.send_long_charge("c", milliseconds=1000))[0], 200)
+        self.assertEqual((await self.fleet.request("c", "/menu/x", headers=headers))[0], 200)
+        await asyncio.gather(*stops)
+
+    async def test_node_that_knows_few_calls_relies_on_their_deadline(self):
+        """A process that had just started expected long calls to end as soon as its first ones."""
+        await self.configure_long_charges()
         self.assertEqual((await self.send_long_charge("a"))[0], 200)
+        executed = self.upstream("c").executed[:]
+        node = self.fleet.machines["a"].node
+        stopping = asyncio.create_task(node.stop())
+        await self.fleet.wait_until(lambda: node.app.is_stopping)
+        self.assertEqual((await self.send_long_charge("a", "later"))[0], 503)
+        self.assertEqual(self.upstream("c").executed, executed)
         await stopping
 
     async def test_stopping_node_refuses_requests_that_it_could_not_finish(self):
