Ended nodes that are stopped while they start

Cause: a SIGTERM that arrives while the program starts stays pending until the node serves. The node then counted its stop from that moment, while the platform counts from the signal: it took requests later than 3 s after the SIGTERM and was still at work when they were cut.

Change: a node that finds a stop signal pending exits before it serves.

Evidence: the test runs the program with a pending SIGTERM.

--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -75,8 +75,19 @@
     return opened
 
 
+def is_stop_pending() -> bool:
+    """Return whether SIGTERM or SIGINT has arrived while both are blocked."""
+    return not signal.sigpending().isdisjoint(STOP_SIGNALS)
+
+
 async def run_node(settings: PlatformNodeSettings, listeners: Listeners) -> None:
-    """Run a node until SIGTERM or SIGINT asks for a graceful stop."""
+    """Run a node until SIGTERM or SIGINT asks for a graceful stop.
+
+    A signal that is pending has used up a part of the grace time, so that the node would be killed
+    before it could finish the calls that it takes. It does not start to serve then.
+    """
+    if is_stop_pending():
+        return
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     node = PlatformNode(settings, sys.stdout.fileno(), listeners)
--- a/tests/commands/node_program.py
+++ b/tests/commands/node_program.py
@@ -27,12 +27,14 @@
     return path, port_by_example
 
 
-async def start_program(path: Path) -> asyncio.subprocess.Process:
-    """Start the program, with its standard output and standard error in one pipe."""
+async def start_program(path: Path, *arguments: str) -> asyncio.subprocess.Process:
+    """Start the program, with its standard output and standard error in one pipe.
+
+    ``arguments`` are those of the interpreter, if it is to run something else.
+    """
     return await asyncio.create_subprocess_exec(
         sys.executable,
-        "-m",
-        PROGRAM,
+        *(arguments or ("-m", PROGRAM)),
         env={SETTINGS_FILE_VARIABLE: str(path)},
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
--- a/tests/commands/test_mesh_signals.py
+++ b/tests/commands/test_mesh_signals.py
@@ -16,6 +16,14 @@
     write_settings,
 )
 
+# Runs the program with a stop signal that arrived during its start.
+RUN_WITH_PENDING_STOP = f"""
+import os, signal
+signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGTERM])
+os.kill(os.getpid(), signal.SIGTERM)
+from {PROGRAM} import main
+main()
+"""
 PRINT_BLOCKED = "print(signal.pthread_sigmask(signal.SIG_BLOCK, []))"
 
 
@@ -41,3 +49,15 @@
             finally:
                 await end(process)
         self.assertTrue(any(b"node.started" in line for line in lines))
+
+    async def test_stop_signal_during_start_ends_the_node_before_it_serves(self):
+        """A node that was stopped as it started took requests, and was late to end."""
+        with tempfile.TemporaryDirectory() as folder:
+            path, _ = write_settings(Path(folder))
+            process = await start_program(path, "-c", RUN_WITH_PENDING_STOP)
+            try:
+                async with asyncio.timeout(20.0):
+                    output, _ = await process.communicate()
+            finally:
+                await end(process)
+        self.assertEqual((process.returncode, output), (0, b""))
