Ordered the incarnations of an upstream by their reports as well

Cause: reports were ordered by the start of their incarnation, a time of day. After a clock jump each report of a restarted upstream was acknowledged and ignored.

Change: an incarnation with an earlier start becomes current after three reports in a row, and a report of the current id that it drains binds at once.

Evidence: before, the new tests printed "NONE is not DRAINING", "NONE is not STARTED" and three times NONE for an upstream that reports alone.

--- a/bamboojunction/platform_node/local_upstream.py
+++ b/bamboojunction/platform_node/local_upstream.py
@@ -4,6 +4,7 @@
 from enum import Enum, auto
 
 from bamboojunction.core.membership.departures import DepartureLog, UpstreamDeparture
+from bamboojunction.core.membership.incarnations import Incarnation, IncarnationOrder
 from bamboojunction.platform.heartbeats import Departure, Heartbeat
 
 
@@ -19,9 +20,11 @@
 class LocalUpstream:
     """The state of the upstream that runs beside this node, across its restarts.
 
-    A heartbeat takes effect if its start time is later than the current one's, or if it is of the
-    same incarnation and has a higher sequence number. Other heartbeats are ignored, and so are
-    those that an incarnation made before it reported its departure.
+    A heartbeat takes effect if ``IncarnationOrder`` accepts it. Other heartbeats are ignored, and
+    so are those that an incarnation made before it reported its departure. A report that the
+    upstream drains takes effect in any case if its id is the current one and the report is not a
+    late one of the current incarnation: the clock of the machine may have jumped back before the
+    upstream started again.
 
     A node that is not at its first start may have acknowledged departures before. Until
     ``restore_departures`` is called, the latest heartbeat is therefore only kept; reports that the
@@ -31,6 +34,7 @@
     __slots__ = (
         "_departures",
         "_held_heartbeat",
+        "_incarnations",
         "_service",
         "are_departures_known",
         "instance_id",
@@ -43,6 +47,7 @@
         self._service = service
         self.are_departures_known = are_departures_known
         self._departures = DepartureLog()
+        self._incarnations = IncarnationOrder()
         self._held_heartbeat: Heartbeat | None = None
         self.latest_heartbeat: Heartbeat | None = None
         self.instance_id = ""
@@ -92,6 +97,7 @@
         if self.is_serving:
             self.is_serving = False
             self.latest_heartbeat = None
+            self._incarnations.forget()
             self.on_change(UpstreamChange.GONE)
 
     def _hold(self, heartbeat: Heartbeat) -> None:
@@ -117,29 +123,39 @@
         )
 
     def _apply_heartbeat(self, heartbeat: Heartbeat) -> UpstreamChange:
-        if heartbeat.service != self._service or not self._is_newer(heartbeat):
+        if heartbeat.service != self._service:
             return UpstreamChange.NONE
-        is_new = (
-            self.latest_heartbeat is None or heartbeat.started_at > self.latest_heartbeat.started_at
-        )
+        incarnation = _incarnation_of(heartbeat)
+        was_current = incarnation == self._incarnations.current
+        if not self._incarnations.accept(incarnation, heartbeat.sequence):
+            return self._apply_uncertain(heartbeat, was_current)
         was_serving = self.is_serving
         self.latest_heartbeat = heartbeat
         self.instance_id = heartbeat.instance_id
         self.is_serving = not self._has_left(heartbeat) and not heartbeat.is_draining
         if heartbeat.is_draining:
-            self._departures.record(
-                UpstreamDeparture(heartbeat.instance_id, heartbeat.started_at, heartbeat.sequence)
-            )
+            self._record_draining(heartbeat)
         if self.is_serving:
-            return UpstreamChange.STARTED if is_new or not was_serving else UpstreamChange.NONE
+            is_start = not was_current or not was_serving
+            return UpstreamChange.STARTED if is_start else UpstreamChange.NONE
         return UpstreamChange.DRAINING if was_serving else UpstreamChange.NONE
 
-    def _is_newer(self, heartbeat: Heartbeat) -> bool:
-        current = self.latest_heartbeat
-        if current is None or heartbeat.started_at > current.started_at:
-            return True
-        is_same_incarnation = (
-            heartbeat.started_at == current.started_at
-            and heartbeat.instance_id == current.instance_id
+    def _apply_uncertain(self, heartbeat: Heartbeat, is_current: bool) -> UpstreamChange:
+        """Apply a report that may be of an ended incarnation, or of one that is not known yet."""
+        is_current_id = heartbeat.instance_id == self.instance_id
+        if is_current or not is_current_id or not heartbeat.is_draining:
+            return UpstreamChange.NONE
+        if self._has_left(heartbeat) or not self.is_serving:
+            return UpstreamChange.NONE
+        self._record_draining(heartbeat)
+        self.is_serving = False
+        return UpstreamChange.DRAINING
+
+    def _record_draining(self, heartbeat: Heartbeat) -> None:
+        self._departures.record(
+            UpstreamDeparture(heartbeat.instance_id, heartbeat.started_at, heartbeat.sequence)
         )
-        return is_same_incarnation and heartbeat.sequence > current.sequence
+
+
+def _incarnation_of(heartbeat: Heartbeat) -> Incarnation:
+    return Incarnation(heartbeat.instance_id, heartbeat.started_at)
--- a/tests/platform_node/test_local_upstream.py
+++ b/tests/platform_node/test_local_upstream.py
@@ -6,6 +6,7 @@
 import unittest
 
 from bamboojunction.core.membership.departures import UpstreamDeparture
+from bamboojunction.core.membership.incarnations import REPORTS_TO_SUCCEED
 from bamboojunction.platform.heartbeats import Departure, Heartbeat
 from bamboojunction.platform_node.local_upstream import LocalUpstream, UpstreamChange
 
@@ -48,6 +49,39 @@
         )
         self.assertEqual(self.local_upstream.instance_id, "i-2")
 
+    def test_reports_count_after_a_restart_during_which_the_clock_jumped_back(self):
+        """Reports of an upstream were acknowledged and ignored, that it drains as well."""
+        self.local_upstream.apply(heartbeat(started_at=200, sequence=9))
+        early = heartbeat(started_at=198, sequence=1, draining=True)
+        self.assertIs(self.local_upstream.apply(early), UpstreamChange.DRAINING)
+        self.assertFalse(self.local_upstream.is_serving)
+
+    def test_upstream_that_reports_alone_is_current_whatever_its_start(self):
+        self.local_upstream.apply(heartbeat("i-2", started_at=200, sequence=9))
+        changes = [
+            self.local_upstream.apply(heartbeat("i-1", started_at=198, sequence=number))
+            for number in range(1, REPORTS_TO_SUCCEED + 1)
+        ]
+        self.assertEqual(
+            changes, [UpstreamChange.NONE] * (REPORTS_TO_SUCCEED - 1) + [UpstreamChange.STARTED]
+        )
+        self.assertEqual(self.local_upstream.instance_id, "i-1")
+        # A late report of the incarnation that was replaced, with the later start.
+        self.local_upstream.apply(heartbeat("i-2", started_at=200, sequence=10))
+        self.assertEqual(self.local_upstream.instance_id, "i-1")
+
+    def test_late_reports_between_those_of_the_current_incarnation_change_nothing(self):
+        for number in range(1, 2 * REPORTS_TO_SUCCEED):
+            self.local_upstream.apply(heartbeat("i-2", started_at=200, sequence=number))
+            self.local_upstream.apply(heartbeat("i-1", started_at=100, sequence=number))
+        self.assertEqual(self.local_upstream.instance_id, "i-2")
+
+    def test_upstream_goes_on_after_a_late_report_that_an_earlier_incarnation_drained(self):
+        self.local_upstream.apply(heartbeat(started_at=200, sequence=1))
+        self.local_upstream.apply(heartbeat(started_at=100, sequence=9, draining=True))
+        change = self.local_upstream.apply(heartbeat(started_at=200, sequence=2))
+        self.assertIs(change, UpstreamChange.STARTED)
+
     def test_restart_under_the_same_id_is_a_new_incarnation(self):
         self.local_upstream.apply(heartbeat(sequence=9))
         change = self.local_upstream.apply(heartbeat(started_at=200, sequence=1))
