Let other nodes replace lost store watchers

Cause: the role moved on only when the announcement of a lost node left the store, 15 s later.

Change: the next two instances of the ring keep links to those ahead and take the place of those that fail two checks, 0.4 s apart. The stand-in of the platform got replicas that lag.

Evidence: the new test waits for a configuration at the two nodes that are left, with replicas that stand still.

--- a/bamboojunction/links/link.py
+++ b/bamboojunction/links/link.py
@@ -179,14 +179,17 @@
                 future.set_result(LinkFailure.LOST)
         self._pending_by_id.clear()
 
-    def check_silence(self, was_paused: bool, token: int) -> None:
-        """Abort the link after three unanswered heartbeats in a row while requests are pending.
+    def check_silence(self, was_paused: bool, token: int, is_kept_open: bool = False) -> None:
+        """Abort the link after three unanswered heartbeats in a row.
+
+        Heartbeats are sent while requests are pending, or always with ``is_kept_open``.
 
         The pool calls this once per heartbeat interval. It counts intervals instead of elapsed
         time: after a pause of this process, frames that the peer sent meanwhile are still unread.
         ``was_paused`` resets the count, and ``token`` is sent with the heartbeat.
         """
-        if was_paused or not self.is_busy or self._received_since_check:
+        is_watched = self.is_busy or is_kept_open
+        if was_paused or not is_watched or self._received_since_check:
             self._silent_intervals = 0
         else:
             self._silent_intervals += 1
--- a/bamboojunction/links/pool.py
+++ b/bamboojunction/links/pool.py
@@ -37,6 +37,7 @@
         "_connect_tasks",
         "_handlers",
         "_identity",
+        "_kept_open",
         "_links_by_address",
         "_loop",
         "_request_ids",
@@ -54,6 +55,7 @@
         self._settings = settings
         self._source_host = source_host
         self._handlers = MessageHandlers({})
+        self._kept_open: frozenset[str] = frozenset()
         self._links_by_address: dict[str, Link] = {}
         self._connect_tasks: dict[str, asyncio.Task] = {}
         self._connect_failed_at: dict[str, float] = {}
@@ -102,6 +104,17 @@
         """Send a message that has no answer; drop it when the node cannot be reached."""
         self._spawn(self._send(address, encode(message)))
 
+    async def keep_open(self, addresses: Iterable[str]) -> list[str]:
+        """Open the links to these addresses; return the addresses that cannot be reached.
+
+        The links stay open while they are idle, and are aborted if the peer is silent then, until
+        the next call names other addresses.
+        """
+        self._kept_open = frozenset(addresses)
+        kept = sorted(self._kept_open)
+        links = await asyncio.gather(*(self._get_or_open(address) for address in kept))
+        return [address for address, link in zip(kept, links, strict=True) if link is None]
+
     def open_links(self) -> list[Link]:
         """Return the outgoing links that are open."""
         return [link for link in self._links_by_address.values() if link.is_open]
@@ -126,7 +139,8 @@
             idle = [
                 address
                 for address, link in self._links_by_address.items()
-                if not link.is_busy and (link.last_used_at < idle_before or not link.is_open)
+                if not link.is_busy
+                and (not link.is_open or self._is_idle(address, link, idle_before))
             ]
             links = [self._links_by_address.pop(address) for address in idle]
             await asyncio.gather(*(link.close() for link in links))
@@ -136,6 +150,9 @@
                 if self._loop.time() - failed_at < RECONNECT_DELAY_SECONDS
             }
 
+    def _is_idle(self, address: str, link: Link, idle_before: float) -> bool:
+        return link.last_used_at < idle_before and address not in self._kept_open
+
     async def close(self) -> None:
         """Close all links."""
         links = list(self._links_by_address.values())
@@ -145,13 +162,14 @@
             task.cancel()
 
     async def _send(self, address: str, frame: bytes) -> None:
-        link = self._links_by_address.get(address)
-        if link is None or not link.is_open:
-            link = await self._get_or_open(address)
+        link = await self._get_or_open(address)
         if link is not None:
             await link.send(frame)
 
     async def _get_or_open(self, address: str) -> Link | None:
+        link = self._links_by_address.get(address)
+        if link is not None and link.is_open:
+            return link
         failed_at = self._connect_failed_at.get(address)
         if failed_at is not None and self._loop.time() - failed_at < RECONNECT_DELAY_SECONDS:
             return None
@@ -190,8 +208,8 @@
             sleep_started_at = self._loop.time()
             await asyncio.sleep(interval)
             was_paused = self._loop.time() - sleep_started_at > 2 * interval
-            for link in list(self._links_by_address.values()):
-                link.check_silence(was_paused, token)
+            for address, link in list(self._links_by_address.items()):
+                link.check_silence(was_paused, token, address in self._kept_open)
 
     async def _connect_and_authenticate(self, address: str) -> Link | None:
         connection = await connect(
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -13,7 +13,6 @@
 from bamboojunction.core.graceful_shutdown import StopWindow
 from bamboojunction.core.membership.departures import DepartureRecord, UpstreamDeparture
 from bamboojunction.core.membership.reachability import ConnectFailureTracker
-from bamboojunction.core.membership.ring import Ring
 from bamboojunction.core.membership.view import Announcement, InstanceState, MembershipView
 from bamboojunction.core.memory_budget import MemoryBudget
 from bamboojunction.core.outcomes import NotRun, NotRunReason
@@ -47,6 +46,7 @@
 from bamboojunction.platform_node.local_upstream import LocalUpstream, UpstreamChange
 from bamboojunction.platform_node.peer_sync import PeerSync
 from bamboojunction.platform_node.store_sync import StoreSync
+from bamboojunction.platform_node.store_watchers import StoreWatchers
 from bamboojunction.platform_node.supervision import run_supervised
 from bamboojunction.telemetry.events import EventLog
 from bamboojunction.telemetry.line_output import LineOutput
@@ -75,8 +75,6 @@
     idle_close_seconds=60.0,
     frame_max_bytes=LINK_FRAME_MAX_BYTES,
 )
-# Nodes of each data centre that follow the configuration without allowing stale answers.
-STORE_WATCHERS_PER_DATA_CENTRE = 2
 # Part of the process's memory limit that the bodies of requests and responses may take. A body has
 # up to two copies, as it is encoded for a link or for the upstream.
 BODY_MEMORY_SHARE = 0.25
@@ -104,7 +102,6 @@
         self.events = EventLog(settings.instance, LineOutput(log_descriptor, self._loop.time()))
         self.current_routes = CurrentRoutes()
         self.view = MembershipView()
-        self._ring = Ring(self.view, settings.data_centre, STORE_WATCHERS_PER_DATA_CENTRE)
         self.router = Router.from_config(settings)
         self._pause_detector = PauseDetector(self._loop.time())
         host, _ = split_address(settings.link_address)
@@ -155,6 +152,9 @@
             settings.store_history_seconds,
         )
         self.store_sync.own_instance = settings.instance
+        self.store_watchers = StoreWatchers(
+            settings.instance, settings.data_centre, self.view, self.links, self.store_sync
+        )
         self.store_sync.on_instances_changed = self._instances_changed
         self.store_sync.on_departures_read = self._restore_departures
         self.link_server = LinkServer(
@@ -200,6 +200,7 @@
             "watch_pauses": self._watch_pauses,
             "report_left_out": self.events.report_dropped_lines,
             "remove_absent": self._remove_unreachable,
+            "check_store_watchers": self.store_watchers.check_reachability,
         }
         self._tasks = [
             asyncio.create_task(run_supervised(name, run, self.events))
@@ -355,7 +356,7 @@
             if entry.data_centre != self.settings.data_centre
         )
         self.forwarder.node_count = max(1, len(by_instance))
-        self.store_sync.set_store_watcher(self._ring.watches_platform(self.settings.instance))
+        self.store_watchers.update_instances()
         for service in self.view.pop_changed_services():
             self.router.update_instances(service, self.view.serving(service))
         for name in joined:
--- a/devtools/bamboo_standins/configuration_fleet.py
+++ b/devtools/bamboo_standins/configuration_fleet.py
@@ -23,8 +23,8 @@
 from bamboojunction.links.messages import AnyMessage
 from bamboojunction.platform import configuration
 from bamboojunction.platform_node.peer_sync import PeerSync
-from bamboojunction.platform_node.process import STORE_WATCHERS_PER_DATA_CENTRE
 from bamboojunction.platform_node.store_sync import StoreSync
+from bamboojunction.platform_node.store_watchers import STORE_WATCHERS_PER_DATA_CENTRE
 from bamboojunction.telemetry.events import EventLog
 from bamboojunction.telemetry.line_output import LineOutput
 
--- a/devtools/bamboo_standins/platform.py
+++ b/devtools/bamboo_standins/platform.py
@@ -36,7 +36,8 @@
 
     ``down`` resets the connection of every call. ``hang`` leaves calls without a response.
     ``delay_seconds`` delays each call. ``stale_reads`` serves reads and watches from a snapshot
-    taken when the fault was set. ``lose_answers`` is the number of writes still to come that take
+    taken when the fault was set, and ``lagging_replicas`` only those that may be stale.
+    ``lose_answers`` is the number of writes still to come that take
     effect but get no response. ``refuse_status`` is the HTTP status to fail every call with
     (0: none).
     """
@@ -45,6 +46,7 @@
     hang: bool = False
     delay_seconds: float = 0.0
     stale_reads: bool = False
+    lagging_replicas: bool = False
     lose_answers: int = 0
     refuse_status: int = 0
 
@@ -73,7 +75,8 @@
     async def set_faults(self, faults: StoreFaults) -> None:
         """Replace the faults and wake pending watches."""
         self.faults = faults
-        self._stale_snapshot = self.store.snapshot() if faults.stale_reads else None
+        is_stale = faults.stale_reads or faults.lagging_replicas
+        self._stale_snapshot = self.store.snapshot() if is_stale else None
         await self._wake_watches()
 
     async def write_unconditionally(self, collection: str, name: str, value: dict) -> None:
@@ -116,12 +119,12 @@
         if "watch" in request.query:
             return await self._watch(request)
         await self._apply_call_faults(request, "reads")
-        found = self._readable_store().list(request.match_info["collection"])
+        found = self._readable_store(request).list(request.match_info["collection"])
         return _json_response(_list_body(found, request.query.get("after", "")))
 
     async def _get(self, request: web.Request) -> web.Response:
         await self._apply_call_faults(request, "reads")
-        found = self._readable_store().get(
+        found = self._readable_store(request).get(
             request.match_info["collection"], request.match_info["name"]
         )
         return _result_response(found.map(_object_body))
@@ -164,7 +167,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_seconds
         while True:
-            batch = self._readable_store().changed_since(collection, after_revision)
+            batch = self._readable_store(request).changed_since(collection, after_revision)
             is_ready = batch.is_err() or batch.ok().changed or batch.ok().deleted
             if is_ready or loop.time() >= deadline:
                 break
@@ -206,8 +209,9 @@
             request.transport.abort()
         raise _ConnectionAborted
 
-    def _readable_store(self) -> ObjectStore:
-        return self._stale_snapshot or self.store
+    def _readable_store(self, request: web.Request) -> ObjectStore:
+        is_stale = self.faults.stale_reads or request.query.get("stale_ok") == "1"
+        return (self._stale_snapshot if is_stale else None) or self.store
 
 
 class _ConnectionAborted(web.HTTPException):
