Started nodes whose metrics port is taken

What callers saw: a node whose metrics port another socket had tried for ten seconds, ended with status 3 and was never ready; so did every start after it. Nodes that share an address do this to each other. A value of BAMBOO_METRICS_PORT that is no port ended the start with a traceback, and a metrics port inside the links' range was taken by the links or refused.

Cause: the metrics were one of the sockets without which a node does not start, though nothing that serves callers or peers needs them.

A task of the running node now takes the port, tries again every second while it is taken, and logs metrics.port_taken once and metrics.listening. The start no longer touches the port, so it cannot fail there. Requests are told apart by their port: reports are recognised by theirs, and all that is neither a call nor a report is a probe. Links take the metrics port only if no other of their range is left.

--- a/bamboojunction/callers/forwarding_server.py
+++ b/bamboojunction/callers/forwarding_server.py
@@ -48,23 +48,26 @@
 
     async def start(self) -> None:
         """Start serving."""
-        loop = asyncio.get_running_loop()
         for listening in self._sockets:
-            port = listening.getsockname()[1]
-            self._listeners.append(
-                await loop.create_server(
-                    lambda port=port: CallerConnection(
-                        self._handler,
-                        port,
-                        self._memory,
-                        self._add_connection,
-                        self._connections.discard,
-                    ),
-                    sock=listening,
-                )
-            )
+            await self.serve_on(listening)
         self._timeout_task = asyncio.create_task(self._check_timeouts())
 
+    async def serve_on(self, listening: socket.socket) -> None:
+        """Serve the requests on one more socket."""
+        port = listening.getsockname()[1]
+        self._listeners.append(
+            await asyncio.get_running_loop().create_server(
+                lambda: CallerConnection(
+                    self._handler,
+                    port,
+                    self._memory,
+                    self._add_connection,
+                    self._connections.discard,
+                ),
+                sock=listening,
+            )
+        )
+
     def begin_stop(self) -> None:
         """Close each connection after its next response; new connections are still accepted."""
         self._is_stopping = True
--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -26,6 +26,7 @@
 
 from bamboojunction.checks.machine import check_machine
 from bamboojunction.checks.messages import has_errors
+from bamboojunction.conf.addresses import PORT_MAX
 from bamboojunction.node.garbage_collection import tune_collection
 from bamboojunction.platform.node_settings import (
     SETTINGS_FILE_VARIABLE,
@@ -56,12 +57,21 @@
     return loaded
 
 
+def read_metrics_port() -> int:
+    """Return the port of the metrics from the environment, or 0 with a line if it is no port."""
+    text = os.environ.get(METRICS_PORT_VARIABLE, "0")
+    if text.isascii() and text.isdigit() and len(text) <= 5 and int(text) <= PORT_MAX:
+        return int(text)
+    sys.stderr.write(f"{METRICS_PORT_VARIABLE}={text!r} is no port; any free port is used\n")
+    return 0
+
+
 def open_listeners(settings: PlatformNodeSettings) -> Result[Listeners, PortConflict]:
     """Listen on the node's ports; while one is taken, try again for ``PORT_WAIT_SECONDS``.
 
     Exit if SIGTERM or SIGINT arrives meanwhile; both are blocked until the node has started.
     """
-    metrics_port = int(os.environ.get(METRICS_PORT_VARIABLE, "0"))
+    metrics_port = read_metrics_port()
     deadline = time.monotonic() + PORT_WAIT_SECONDS
     has_reported = False
     while isinstance(opened := Listeners.open(settings, metrics_port), Err):
--- a/bamboojunction/platform_node/app.py
+++ b/bamboojunction/platform_node/app.py
@@ -78,9 +78,9 @@
         """Answer one request."""
         if request.port == self._ports.callers:
             return await self._serve_caller(request)
-        if request.port in (self._ports.ready, self._ports.metrics):
-            return self._serve_probe(_decoded_path(request.target))
-        return await self._handle_report(request)
+        if request.port == self._ports.reports:
+            return await self._handle_report(request)
+        return self._serve_probe(_decoded_path(request.target))
 
     def reject(self, rejection: Rejection, headers: RawHeaders) -> HttpResponse:
         """Return the response to a request that was not passed on."""
@@ -216,14 +216,19 @@
 
 
 class PlatformNodeAppPorts:
-    """The ports that tell the type of a request; any other port takes upstream reports."""
+    """The ports that tell the type of a request; any other port takes probes of the metrics."""
 
-    __slots__ = ("callers", "metrics", "ready")
+    __slots__ = ("callers", "ready", "reports")
 
-    def __init__(self, callers: int, ready: int, metrics: int):
+    def __init__(self, callers: int, ready: int, reports: int):
         self.callers = callers
         self.ready = ready
-        self.metrics = metrics
+        self.reports = reports
+
+    @property
+    def all(self) -> frozenset[int]:
+        """Return all ports."""
+        return frozenset((self.callers, self.ready, self.reports))
 
 
 async def _is_stored(timeout: float) -> bool:
--- a/bamboojunction/platform_node/listeners.py
+++ b/bamboojunction/platform_node/listeners.py
@@ -33,29 +33,33 @@
 
 @dataclass(slots=True, frozen=True)
 class Listeners:
-    """The sockets on which a node listens; ``link_address`` is the one that peers connect to."""
+    """The sockets without which a node cannot serve, and the address of its metrics.
+
+    ``link_address`` is the address that peers connect to.
+    """
 
     callers: socket.socket
     ready: socket.socket
     reports: socket.socket
-    metrics: socket.socket
     links: socket.socket
+    metrics_address: str
 
     @classmethod
     def open(
         cls, settings: PlatformNodeSettings, metrics_port: int
     ) -> Result["Listeners", PortConflict]:
-        """Listen on all addresses of the settings, or on none.
+        """Listen on all addresses of the settings, or on none; the metrics are left for later.
 
         Links take the first port of their range that is free, as any process of the machine may
-        have got one of them for an outgoing connection. The other ports are fixed.
+        have got one of them for an outgoing connection. They take the port of the metrics only if
+        no other is left. The other ports are fixed.
         """
         host, _ = split_address(settings.link_address)
+        metrics_address = f"{host}:{metrics_port}"
         address_by_purpose = {
             "callers": settings.caller_address,
             "readiness": settings.ready_address,
             "reports": settings.report_address,
-            "metrics": f"{host}:{metrics_port}",
         }
         opened: list[socket.socket] = []
         for purpose, address in address_by_purpose.items():
@@ -64,11 +68,13 @@
                 _close(opened)
                 return found
             opened.append(found.ok())
-        found = _listen("links", _link_addresses(settings))
+        # Sorting is stable: the port of the metrics goes last.
+        addresses = sorted(_link_addresses(settings), key=metrics_address.__eq__)
+        found = _listen("links", addresses)
         if isinstance(found, Err):
             _close(opened)
             return found
-        return Ok(cls(*opened, found.ok()))
+        return Ok(cls(*opened, found.ok(), metrics_address))
 
     @property
     def link_address(self) -> str:
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -45,6 +45,7 @@
 from bamboojunction.platform_node.gate import PlatformNodeGate, UpstreamSender
 from bamboojunction.platform_node.listeners import Listeners
 from bamboojunction.platform_node.local_upstream import LocalUpstream, UpstreamChange
+from bamboojunction.platform_node.metrics_listener import MetricsListener
 from bamboojunction.platform_node.peer_sync import PeerSync
 from bamboojunction.platform_node.store_sync import StoreSync
 from bamboojunction.platform_node.supervision import run_supervised
@@ -167,7 +168,7 @@
         ports = PlatformNodeAppPorts(
             split_address(settings.caller_address)[1],
             split_address(settings.ready_address)[1],
-            self._listeners.metrics.getsockname()[1],
+            split_address(settings.report_address)[1],
         )
         self.app = PlatformNodeApp(
             settings.service,
@@ -179,14 +180,12 @@
             ports,
         )
         self.app.wait_until_stored = self.store_sync.wait_until_stored
-        sockets = [
-            self._listeners.callers,
-            self._listeners.ready,
-            self._listeners.reports,
-            self._listeners.metrics,
-        ]
+        sockets = [self._listeners.callers, self._listeners.ready, self._listeners.reports]
         self.events.prometheus_metrics.collect_state = self._read_gauges
         self.server = ForwardingServer(self.app, sockets, self.body_memory, KEEP_ALIVE_SECONDS)
+        self._metrics_listener = MetricsListener(
+            self._listeners.metrics_address, ports.all, self.server.serve_on, self.events
+        )
         self._remote_addresses: frozenset[str] = frozenset()
         self._tasks: list[asyncio.Task] = []
 
@@ -196,6 +195,7 @@
         await self.server.start()
         self.store_sync.start()
         coroutine_function_by_name = {
+            "listen_for_metrics": self._metrics_listener.run,
             "close_idle_links": self.links.close_idle,
             "watch_pauses": self._watch_pauses,
             "report_left_out": self.events.report_dropped_lines,
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -76,6 +76,14 @@
         """Log that a background task failed and is restarted."""
         self._emit("node.task_failed", True, task=task, problem=problem)
 
+    def metrics_port_taken(self, address: str, problem: str, holder: str) -> None:
+        """Log that the node serves without metrics until it can listen on their address."""
+        self._emit("metrics.port_taken", True, address=address, problem=problem, holder=holder)
+
+    def metrics_listening(self, address: str) -> None:
+        """Log that the metrics can be read on an address."""
+        self._emit("metrics.listening", True, address=address)
+
     def process_paused(self, seconds: float) -> None:
         """Log that the process did not run for some seconds."""
         self._emit("node.paused", True, seconds=seconds)
--- a/tests/commands/node_program.py
+++ b/tests/commands/node_program.py
@@ -27,13 +27,15 @@
     return path, port_by_example
 
 
-async def start_program(path: Path) -> asyncio.subprocess.Process:
+async def start_program(
+    path: Path, environment: dict[str, str] | None = None
+) -> asyncio.subprocess.Process:
     """Start the program, with its standard output and standard error in one pipe."""
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         PROGRAM,
-        env={SETTINGS_FILE_VARIABLE: str(path)},
+        env={SETTINGS_FILE_VARIABLE: str(path), **(environment or {})},
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
     )
--- a/tests/commands/test_mesh_ports.py
+++ b/tests/commands/test_mesh_ports.py
@@ -9,12 +9,17 @@
 from pathlib import Path
 from unittest import mock
 
+import aiohttp
+
+from bamboo_standins.process_fleet import free_port
 from bamboojunction.management.commands import mesh
 from bamboojunction.platform.node_settings import load_node_settings
 from tests.commands.node_program import (
     CALLERS,
     HOST,
     LINKS,
+    READY,
+    REPORTS,
     end,
     read_until,
     start_program,
@@ -32,8 +37,8 @@
         self.addCleanup(folder.cleanup)
         self.path, self.port_by_example = write_settings(Path(folder.name))
 
-    async def start(self) -> asyncio.subprocess.Process:
-        process = await start_program(self.path)
+    async def start(self, **environment: str) -> asyncio.subprocess.Process:
+        process = await start_program(self.path, environment)
         self.addAsyncCleanup(end, process)
         return process
 
@@ -52,6 +57,38 @@
         self.assertIn(f"process {os.getpid()} ".encode(), lines[-1])
         await read_until(process, b"node.started")
 
+    async def test_node_serves_without_metrics_until_their_port_is_free(self):
+        """A socket on the port of the metrics ended the node at each start, with status 3."""
+        port = free_port(HOST)
+        with take(port):
+            process = await self.start(**{mesh.METRICS_PORT_VARIABLE: str(port)})
+            lines = await read_until(process, b"metrics.port_taken")
+            self.assertTrue(any(b"node.started" in line for line in lines))
+            self.assertEqual(await self.status(self.port_by_example[READY], "/readyz"), 503)
+        await read_until(process, b"metrics.listening")
+        self.assertEqual(await self.status(port, "/metrics"), 200)
+
+    async def test_port_of_the_metrics_is_no_matter_of_the_start(self):
+        """An odd value ended the node with a traceback; a link took the port of the metrics."""
+        for value in ("", "x", "-1", "70000", str(self.port_by_example[REPORTS])):
+            with self.subTest(value):
+                process = await self.start(**{mesh.METRICS_PORT_VARIABLE: value})
+                lines = await read_until(process, b"node.started")
+                self.assertNotIn(b"Traceback", b"".join(lines))
+                self.assertEqual(await self.status(self.port_by_example[REPORTS], "/x"), 400)
+                await end(process)
+        link_port = str(self.port_by_example[LINKS])
+        process = await self.start(**{mesh.METRICS_PORT_VARIABLE: link_port})
+        lines = await read_until(process, b"metrics.listening")
+        self.assertIn(f"address={HOST}:{link_port}".encode(), lines[-1])
+
+    async def status(self, port: int, path: str) -> int:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{HOST}:{port}{path}") as response,
+        ):
+            return response.status
+
     async def test_signal_ends_the_wait_for_a_port(self):
         with take(self.port_by_example[CALLERS]):
             process = await self.start()
