Started nodes whose link range holds ports of other purposes

What callers saw: a node whose port_range begins with the port of its callers, readiness, reports or upstream ended at each start with machine.E002 and status 2, though fifteen ports of the range were free.

Cause: the check compared the first port of the range with the other addresses. The listener takes the first free port of the range and leaves the addresses of other purposes out, so the check refused what works.

The test printed before the fix: [CheckMessage(message_id='machine.E002', ... message='127.94.231.1:28430 is set for more than one purpose', ...)] != [] and the program ended before node.started (24 subtests and one start).

The check now asks the listener which addresses are left for links, and refuses only a range without any. The store's address is left out as well, and a range that goes beyond the last port ends there; both would have made the listener fail on an address that cannot be meant.

--- a/bamboojunction/checks/machine.py
+++ b/bamboojunction/checks/machine.py
@@ -3,10 +3,10 @@
 from collections import Counter
 
 from bamboojunction.checks.messages import CheckMessage, Level
-from bamboojunction.conf.addresses import split_address
+from bamboojunction.conf.addresses import PORT_MAX, split_address
 from bamboojunction.platform.node_settings import PlatformNodeSettings
+from bamboojunction.platform_node.listeners import link_addresses
 
-PORT_MAX = 65_535
 # The time that callers need to stop using the node and that their last requests need to finish.
 STOP_SECONDS_MIN = 4.0
 
@@ -45,8 +45,10 @@
 
 
 def _check_distinct_addresses(settings: PlatformNodeSettings) -> list[CheckMessage]:
-    counts = Counter(_address_by_purpose(settings).values())
-    return [
+    address_by_purpose = _address_by_purpose(settings)
+    del address_by_purpose["links"]
+    counts = Counter(address_by_purpose.values())
+    messages = [
         CheckMessage(
             "machine.E002",
             Level.ERROR,
@@ -56,6 +58,17 @@
         for address, count in counts.items()
         if count > 1
     ]
+    # Links leave the ports of other purposes out, so their range may hold some of them.
+    if _is_address(settings.link_address) and not link_addresses(settings):
+        messages.append(
+            CheckMessage(
+                "machine.E002",
+                Level.ERROR,
+                f"each port of the links' range from {settings.link_address} has another purpose",
+                "widen port_range",
+            )
+        )
+    return messages
 
 
 def _check_limits(settings: PlatformNodeSettings) -> list[CheckMessage]:
--- a/bamboojunction/platform_node/listeners.py
+++ b/bamboojunction/platform_node/listeners.py
@@ -1,13 +1,12 @@
 """The listening sockets of a platform node, opened before anything else is started."""
 
 import socket
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
 from bamboojunction.callers.sockets import find_holder, listen
-from bamboojunction.conf.addresses import split_address
+from bamboojunction.conf.addresses import PORT_MAX, split_address
 from bamboojunction.platform.node_settings import PlatformNodeSettings
 
 
@@ -69,13 +68,17 @@
                 return found
             opened.append(found.ok())
         # Sorting is stable: the port of the metrics goes last.
-        addresses = sorted(_link_addresses(settings), key=metrics_address.__eq__)
+        addresses = sorted(link_addresses(settings), key=metrics_address.__eq__)
         found = _listen("links", addresses)
         if isinstance(found, Err):
             _close(opened)
             return found
         return Ok(cls(*opened, found.ok(), metrics_address))
 
+    def close(self) -> None:
+        """Close all sockets."""
+        _close([self.callers, self.ready, self.reports, self.links])
+
     @property
     def link_address(self) -> str:
         """Return the address that the node announces to its peers."""
@@ -83,7 +86,7 @@
         return f"{host}:{port}"
 
 
-def _link_addresses(settings: PlatformNodeSettings) -> Iterator[str]:
+def link_addresses(settings: PlatformNodeSettings) -> list[str]:
     """Return the addresses of the links' range, without those that the settings give to others."""
     host, first = split_address(settings.link_address)
     taken = {
@@ -91,14 +94,14 @@
         settings.ready_address,
         settings.report_address,
         settings.upstream_address,
+        settings.store_address,
     }
-    addresses = (f"{host}:{port}" for port in range(first, max(first, settings.link_port_max) + 1))
-    return (address for address in addresses if address not in taken)
+    last = max(first, min(settings.link_port_max, PORT_MAX))
+    addresses = (f"{host}:{port}" for port in range(first, last + 1))
+    return [address for address in addresses if address not in taken]
 
 
-def _listen(
-    purpose: str, addresses: Iterator[str] | list[str]
-) -> Result[socket.socket, PortConflict]:
+def _listen(purpose: str, addresses: list[str]) -> Result[socket.socket, PortConflict]:
     """Listen on the first address that is free; return the conflict at the last one if none is."""
     conflict = PortConflict(purpose, "", "no address is left", "")
     for address in addresses:
