Started nodes whose settings have odd fields

What callers saw: one field that is empty, missing, of another type or odd (limits.memory_mb: null) refused the whole settings file. The node ended with status 2 at each start, and readiness never came.

Cause: the file was decoded as one typed value, so a field that nothing needs to serve was as strict as the address of the callers; the check machine.E003 did the same to the limits of the retry budget. A value that YAML itself cannot convert (2026-13-45, 0x_) failed the file with a traceback, and a syntax error was told in several lines.

Fields are now read one by one. Those without which a node cannot serve (node, service, ip, app_addr, the first port of port_range, the addresses of callers, readiness, reports and store) end the start with one line; every other one gets its default and a line with field, value and default (settings.defaulted in the log, machine.W002 in the check). At a reload such a field keeps the value in force.

The example of a settings file got the documented field bootstrap.

--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -212,6 +212,7 @@
             data_centre=self.settings.data_centre,
             link_address=self._link_address,
         )
+        self._report_defaulted_fields()
 
     async def stop(self) -> None:
         """Stop gracefully.
@@ -264,10 +265,15 @@
         if isinstance(loaded, Err):
             self.events.reload_failed(loaded.err())
             return
-        settings = self.settings = loaded.ok()
+        settings = self.settings = loaded.ok().with_values_in_force(self.settings)
+        self._report_defaulted_fields()
         self.forwarder.set_retry_limit(retry_limit(settings))
         self.events.reloaded(stop_seconds=settings.stop_seconds)
 
+    def _report_defaulted_fields(self) -> None:
+        for entry in self.settings.defaulted:
+            self.events.setting_defaulted(entry.field, entry.value, entry.used)
+
     def _is_remote(self, address: str) -> bool:
         """Return whether the node at a link address is known to be in another data centre."""
         return address in self._remote_addresses
--- a/bamboojunction/telemetry/events.py
+++ b/bamboojunction/telemetry/events.py
@@ -72,6 +72,10 @@
         """Log that the settings file was not reloaded because it is invalid."""
         self._emit("node.reload_failed", True, problem=problem)
 
+    def setting_defaulted(self, field: str, value: str, used: str) -> None:
+        """Log that a field of the settings file cannot be used, and what is used instead."""
+        self._emit("settings.defaulted", True, field=field, value=value, used=used)
+
     def task_failed(self, task: str, problem: str) -> None:
         """Log that a background task failed and is restarted."""
         self._emit("node.task_failed", True, task=task, problem=problem)
--- a/tests/adapter/test_node_settings.py
+++ b/tests/adapter/test_node_settings.py
@@ -12,6 +12,7 @@
   ip: "10.1.0.8"
   app_addr: "10.1.0.8:8301"
   service: "menu"
+  bootstrap: false
   limits:
     max_fds: 4100
     memory_mb: 300
