--- a/tests/commands/node_program.py
+++ b/tests/commands/node_program.py
@@ -1,6 +1,7 @@
 """The node program on the platform as a process, with settings for loopback addresses."""
 
 import asyncio
+import socket
 import sys
 from pathlib import Path
 
@@ -27,6 +28,11 @@
     return path, port_by_example
 
 
+def take(port: int, host: str = HOST) -> socket.socket:
+    """Return a socket that listens on a port, so that no node can."""
+    return socket.create_server((host, port))
+
+
 async def start_program(
     path: Path, environment: dict[str, str] | None = None
 ) -> asyncio.subprocess.Process:
--- a/tests/commands/test_mesh_ports.py
+++ b/tests/commands/test_mesh_ports.py
@@ -6,7 +6,6 @@
 import itertools
 import os
 import signal
-import socket
 import tempfile
 import unittest
 from pathlib import Path
@@ -33,6 +32,7 @@
     end,
     read_until,
     start_program,
+    take,
     write_settings,
 )
 
@@ -40,10 +40,6 @@
 OWN_HOST = f"127.94.{os.getpid() % 250}.1"
 
 
-def take(port: int, host: str = HOST) -> socket.socket:
-    return socket.create_server((host, port))
-
-
 class PortTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
