Started bamboo-node whose output is closed or full

What callers saw: the product's node ended with status 1 at each start while its standard output or error was closed, full, or its reader gone.

Cause: the same as on the platform. Its command line writes warnings of the settings to sys.stderr, and the logs went to the sys.stderr of the time when the module was imported, which is None for a closed one.

The test printed before the fix, for each of the five outputs: AssertionError: b' 400 ' not found in b'the program ended'

Both programs now replace sys.stdout and sys.stderr at their start by writers that drop what cannot be written, so no write of theirs or of a library fails. Only the node on the platform makes standard error non-blocking: the product's logs go there, and a reader that is slow for a moment should get them whole.

--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -35,7 +35,7 @@
 )
 from bamboojunction.platform_node.listeners import Listeners, PortConflict
 from bamboojunction.platform_node.process import PlatformNode
-from bamboojunction.telemetry.standard_streams import prepare_standard_streams, write_error_line
+from bamboojunction.telemetry.standard_streams import STANDARD_ERROR, replace_standard_streams
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_PORT_TAKEN = 3
@@ -63,7 +63,7 @@
     text = os.environ.get(METRICS_PORT_VARIABLE, "0")
     if text.isascii() and text.isdigit() and len(text) <= 5 and int(text) <= PORT_MAX:
         return int(text)
-    write_error_line(f"{METRICS_PORT_VARIABLE}={text!r} is no port; any free port is used")
+    sys.stderr.write(f"{METRICS_PORT_VARIABLE}={text!r} is no port; any free port is used\n")
     return 0
 
 
@@ -79,7 +79,7 @@
         if time.monotonic() >= deadline:
             break
         if not has_reported:
-            write_error_line(f"{opened.err()}; trying again for {PORT_WAIT_SECONDS:.0f} s")
+            sys.stderr.write(f"{opened.err()}; trying again for {PORT_WAIT_SECONDS:.0f} s\n")
             has_reported = True
         if signal.sigtimedwait(STOP_SIGNALS, PORT_RETRY_SECONDS) is not None:
             sys.exit(os.EX_OK)
@@ -112,14 +112,16 @@
 
 def main() -> None:
     """Run the node, or exit with an error if its settings or its ports cannot be used."""
-    prepare_standard_streams()
+    replace_standard_streams()
+    # While a start waited for a reader, the blocked signals could not end it.
+    os.set_blocking(STANDARD_ERROR, False)
     loaded = load_checked_settings()
     if isinstance(loaded, Err):
-        write_error_line(loaded.err())
+        sys.stderr.write(f"{loaded.err()}\n")
         sys.exit(EXIT_INVALID_SETTINGS)
     opened = open_listeners(loaded.ok())
     if isinstance(opened, Err):
-        write_error_line(str(opened.err()))
+        sys.stderr.write(f"{opened.err()}\n")
         sys.exit(EXIT_PORT_TAKEN)
     uvloop.run(_run_and_exit(loaded.ok(), opened.ok()))
 
--- a/bamboojunction/management/commands/node.py
+++ b/bamboojunction/management/commands/node.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import signal
+import sys
 from pathlib import Path
 
 import uvloop
@@ -22,6 +23,7 @@
 from bamboojunction.node.garbage_collection import tune_collection
 from bamboojunction.node.process import Node
 from bamboojunction.telemetry.logs import configure_logs
+from bamboojunction.telemetry.standard_streams import replace_standard_streams
 
 EXIT_OK = 0
 EXIT_INVALID_SETTINGS = 2
@@ -76,7 +78,7 @@
         if self.option("check"):
             self.line("settings are valid")
             return EXIT_OK
-        configure_logs(settings.telemetry)
+        configure_logs(settings.telemetry, sys.stderr)
         result = uvloop.run(run_node(settings))
         if result.is_err():
             self.line_error(f"{self.argument('settings')}: {result.err()}")
@@ -86,6 +88,7 @@
 
 def main() -> None:
     """Run the command line."""
+    replace_standard_streams()
     SingleCommandApplication(NodeCommand()).run_arguments()
 
 
--- a/bamboojunction/telemetry/standard_streams.py
+++ b/bamboojunction/telemetry/standard_streams.py
@@ -1,31 +1,37 @@
-"""Standard streams that neither end nor hold a process, whatever becomes of their readers."""
+"""Standard streams that do not end a process, whatever becomes of their readers."""
 
 import contextlib
+import io
 import os
 import sys
 
-STANDARD_ERROR = 2
-_MODE_BY_STREAM_NAME = {"stdin": "r", "stdout": "w", "stderr": "w"}
+STANDARD_OUTPUT, STANDARD_ERROR = 1, 2
 
 
-def prepare_standard_streams() -> None:
-    """Replace closed standard streams, and let no write to standard error wait.
+class LossyWriter(io.FileIO):
+    """A writer to a descriptor that drops what cannot be written."""
+
+    def write(self, data) -> int:
+        """Write what the descriptor takes, and return the size of the data."""
+        with contextlib.suppress(OSError):
+            os.write(self.fileno(), data)
+        return len(data)
+
+
+def replace_standard_streams() -> None:
+    """Replace closed standard streams, and let no write to the others fail.
 
     A socket would get the descriptor of a closed stream, and log lines would be written to it.
     """
-    for descriptor, (name, mode) in enumerate(_MODE_BY_STREAM_NAME.items()):
+    for descriptor in range(STANDARD_ERROR + 1):
         try:
             os.fstat(descriptor)
         except OSError:
             # The lowest free descriptor is the one of this stream.
             os.open(os.devnull, os.O_RDWR)
-        if getattr(sys, name) is None:
-            setattr(sys, name, os.fdopen(descriptor, mode, closefd=False))
-    # Libraries report there as well.
-    os.set_blocking(STANDARD_ERROR, False)
+    sys.stdout, sys.stderr = map(_open_lossy, (STANDARD_OUTPUT, STANDARD_ERROR))
 
 
-def write_error_line(line: str) -> None:
-    """Write a line to standard error, or drop what cannot be written at once."""
-    with contextlib.suppress(OSError):
-        os.write(STANDARD_ERROR, f"{line}\n".encode(errors="backslashreplace"))
+def _open_lossy(descriptor: int) -> io.TextIOWrapper:
+    writer = LossyWriter(descriptor, "w", closefd=False)
+    return io.TextIOWrapper(writer, "utf-8", errors="backslashreplace", write_through=True)
