Named holders of ports whose process name is no text

What callers saw: a start that waits for a port looks for the process that has it. If the name of that process is no UTF-8, which happens when the kernel cuts a long one within a character, the start ended with a traceback instead of waiting. The log line of a taken metrics port would have failed its task in the same way.

The test printed before the fix: UnicodeDecodeError: 'utf-8' codec can't decode byte 0xc3 in position 2: invalid continuation byte

Cause: the name was decoded strictly, and only OSError and IndexError are taken for a process that cannot be seen. It is now decoded with replacements, and a line feed in it no longer splits the line.

--- a/bamboojunction/callers/sockets.py
+++ b/bamboojunction/callers/sockets.py
@@ -27,7 +27,8 @@
         links = {f"socket:[{inode}]" for inode in inodes}
         for process in _PROCESSES.glob("[0-9]*"):
             if _has_open(process, links):
-                name = (process / "comm").read_text().strip()
+                # A name may hold any bytes, and a long one is cut, maybe within a character.
+                name = " ".join((process / "comm").read_text("utf-8", "replace").split())
                 return f"process {process.name} ({name})"
     except (OSError, IndexError):
         # A process may end while it is looked at, or may not be visible.
--- a/tests/commands/test_mesh_ports.py
+++ b/tests/commands/test_mesh_ports.py
@@ -14,6 +14,7 @@
 import aiohttp
 
 from bamboo_standins.process_fleet import free_port
+from bamboojunction.callers.sockets import find_holder
 from bamboojunction.checks.machine import check_machine
 from bamboojunction.management.commands import mesh
 from bamboojunction.platform.node_settings import (
@@ -112,6 +113,15 @@
         address = f"{OWN_HOST}:{first}"
         return dataclasses.replace(settings, link_address=address, link_port_max=last)
 
+    def test_holder_whose_name_is_no_text_is_named(self):
+        """The name of a process, cut within a character, ended a start that waited for a port."""
+        comm = Path("/proc/self/comm")
+        self.addCleanup(comm.write_bytes, comm.read_bytes())
+        comm.write_bytes(b"a\n\xc3")
+        port = self.port_by_example[CALLERS]
+        with take(port):
+            self.assertEqual(find_holder(HOST, port), f"process {os.getpid()} (a \ufffd)")
+
     async def test_port_of_the_metrics_is_no_matter_of_the_start(self):
         """An odd value ended the node with a traceback; a link took the port of the metrics."""
         for value in ("", "x", "-1", "70000", str(self.port_by_example[REPORTS])):
