Kept the identity of a node at a reload

What callers would have seen: after SIGHUP with a file that holds another name, service or data centre, the next announcement named those, while the gate and the sockets still served the old ones. Peers would then send calls of one service to the upstream of another. This was found by reading; no run showed misdirected calls.

The test printed before the fix: AssertionError: Tuples differ: ('other-lac-1', 'x') != ('sidecar-lac-1', 'menu')

Cause: a reload replaced all settings, though only the bounds of stops and retries can change in a running node. It now takes over these alone, and of these only fields that can be used.

--- a/bamboojunction/platform/node_settings.py
+++ b/bamboojunction/platform/node_settings.py
@@ -26,6 +26,10 @@
 RETRY_WINDOW_SECONDS, RETRY_WINDOW_SECONDS_BOUNDS = 10.0, (0.1, 3_600.0)
 RETRY_SLACK, RETRY_SLACK_BOUNDS = 48.0, (0.0, 1e9)
 DATA_CENTRE = "unknown"
+# The others are bound to sockets, or to what peers know of the node.
+RELOADED_SETTINGS = frozenset(
+    {"stop_seconds", "retry_ratio", "retry_window_seconds", "retry_slack"}
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,12 +65,16 @@
     defaulted: tuple[DefaultedField, ...] = ()
 
     def with_values_in_force(self, current: "PlatformNodeSettings") -> "PlatformNodeSettings":
-        """Return these settings with the current values of the fields that cannot be used."""
+        """Return the current settings with those of these that a running node can take over.
+
+        A field that cannot be used keeps its current value.
+        """
         used = "the value in force"
+        unusable = {entry.setting for entry in self.defaulted}
         return replace(
-            self,
+            current,
             defaulted=tuple(replace(entry, used=used) for entry in self.defaulted),
-            **{entry.setting: getattr(current, entry.setting) for entry in self.defaulted},
+            **{name: getattr(self, name) for name in RELOADED_SETTINGS - unusable},
         )
 
 
--- a/tests/commands/test_check_machine.py
+++ b/tests/commands/test_check_machine.py
@@ -75,6 +75,16 @@
             self.path.write_bytes(SETTINGS_FILE.replace(b"10.1.0.8:8304", b"10.1.0.8"))
             self.assertIn("machine.E001", load_checked_settings().err())
 
+    def test_reload_keeps_what_is_in_force_since_the_start(self):
+        """A reload took over another name and service, which the next announcement had."""
+        current = parse_node_settings(SETTINGS_FILE).unwrap()
+        text = SETTINGS_FILE.replace(b'node: "sidecar', b'node: "other').replace(b"menu", b"x")
+        text = text.replace(b"grace_s: 6", b"grace_s: 7").replace(b"slack: 48", b"slack: ~")
+        reloaded = parse_node_settings(text).unwrap().with_values_in_force(current)
+        self.assertEqual((reloaded.instance, reloaded.service), ("sidecar-lac-1", "menu"))
+        self.assertEqual((reloaded.stop_seconds, reloaded.retry_slack), (7, 48))
+        self.assertEqual(reloaded.defaulted[0].used, "the value in force")
+
     def test_odd_limit_of_the_retry_budget_is_replaced_by_its_default(self):
         for old, new in ((b"ratio: 0.2", b"ratio: -1"), (b"window_s: 10", b"window_s: 0")):
             self.path.write_bytes(SETTINGS_FILE.replace(old, new))
