--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -26,6 +26,7 @@
 
 from bamboojunction.checks.machine import check_machine
 from bamboojunction.checks.messages import has_errors
+from bamboojunction.conf.addresses import PORT_MAX
 from bamboojunction.node.garbage_collection import tune_collection
 from bamboojunction.platform.node_settings import (
     SETTINGS_FILE_VARIABLE,
@@ -34,6 +35,7 @@
 )
 from bamboojunction.platform_node.listeners import Listeners, PortConflict
 from bamboojunction.platform_node.process import PlatformNode
+from bamboojunction.telemetry.standard_streams import STANDARD_ERROR, replace_standard_streams
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_PORT_TAKEN = 3
@@ -56,12 +58,21 @@
     return loaded
 
 
+def read_metrics_port() -> int:
+    """Return the port of the metrics from the environment, or 0 with a line if it is no port."""
+    text = os.environ.get(METRICS_PORT_VARIABLE, "0")
+    if text.isascii() and text.isdigit() and len(text) <= 5 and int(text) <= PORT_MAX:
+        return int(text)
+    sys.stderr.write(f"{METRICS_PORT_VARIABLE}={text!r} is no port; any free port is used\n")
+    return 0
+
+
 def open_listeners(settings: PlatformNodeSettings) -> Result[Listeners, PortConflict]:
     """Listen on the node's ports; while one is taken, try again for ``PORT_WAIT_SECONDS``.
 
     Exit if SIGTERM or SIGINT arrives meanwhile; both are blocked until the node has started.
     """
-    metrics_port = int(os.environ.get(METRICS_PORT_VARIABLE, "0"))
+    metrics_port = read_metrics_port()
     deadline = time.monotonic() + PORT_WAIT_SECONDS
     has_reported = False
     while isinstance(opened := Listeners.open(settings, metrics_port), Err):
@@ -112,6 +123,9 @@
 
 def main() -> None:
     """Run the node, or exit with an error if its settings or its ports cannot be used."""
+    replace_standard_streams()
+    # While a start waited for a reader, the blocked signals could not end it.
+    os.set_blocking(STANDARD_ERROR, False)
     loaded = load_checked_settings()
     if isinstance(loaded, Err):
         sys.stderr.write(f"{loaded.err()}\n")
--- a/tests/commands/node_program.py
+++ b/tests/commands/node_program.py
@@ -1,6 +1,7 @@
 """The node program on the platform as a process, with settings for loopback addresses."""
 
 import asyncio
+import socket
 import sys
 from pathlib import Path
 
@@ -11,8 +12,8 @@
 PROGRAM = "bamboojunction.management.commands.mesh"
 HOST = "127.0.0.1"
 # The ports in the example of a settings file.
-CALLERS, READY, REPORTS, LINKS = 8304, 8302, 8306, 7620
-_PORTS = (8301, READY, CALLERS, REPORTS, LINKS)
+UPSTREAM, CALLERS, READY, REPORTS, LINKS = 8301, 8304, 8302, 8306, 7620
+_PORTS = (UPSTREAM, READY, CALLERS, REPORTS, LINKS)
 
 
 def write_settings(folder: Path) -> tuple[Path, dict[int, int]]:
@@ -27,7 +28,14 @@
     return path, port_by_example
 
 
-async def start_program(path: Path, *arguments: str) -> asyncio.subprocess.Process:
+def take(port: int, host: str = HOST) -> socket.socket:
+    """Return a socket that listens on a port, so that no node can."""
+    return socket.create_server((host, port))
+
+
+async def start_program(
+    path: Path, *arguments: str, environment: dict[str, str] | None = None
+) -> asyncio.subprocess.Process:
     """Start the program, with its standard output and standard error in one pipe.
 
     ``arguments`` are those of the interpreter, if it is to run something else.
@@ -35,7 +43,7 @@
     return await asyncio.create_subprocess_exec(
         sys.executable,
         *(arguments or ("-m", PROGRAM)),
-        env={SETTINGS_FILE_VARIABLE: str(path)},
+        env={SETTINGS_FILE_VARIABLE: str(path), **(environment or {})},
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
     )
