Rejected answers whose head holds a second status line

A faulty upstream wrote the answer to an earlier request once more on a connection that was in use again, broke off within a head, and then sent the answer to the next request. The bytes parse as one head: the next request's answer became the reason phrase or the value of a header, and the rest of its headers, with the right request id, followed. So the caller got the status of an earlier answer: a failure with status 200, or a 503 for a request that had run.

Cause: the parser allows any text in reason phrases and header values, and the request id, the only proof of ownership, came from the last of the merged heads.

Evidence: test_cut_copy_of_an_earlier_answer_never_merges_with_the_next_one cuts four earlier answers at each byte, before each of three answers, in pieces of one byte and whole.

A head is now malformed if a status line begins within its reason phrase or a header value. That covers each place where a cut head can go on with another one: in names, numbers and line ends the parser rejects the bytes of a status line.

--- a/bamboojunction/upstreams/connection.py
+++ b/bamboojunction/upstreams/connection.py
@@ -9,6 +9,7 @@
 import httptools
 
 from bamboojunction.core.memory_budget import BodyReservation, MemoryBudget
+from bamboojunction.upstreams.response_heads import contains_status_line
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -174,6 +175,11 @@
         if self._is_complete:
             self._stop_reuse()
 
+    def on_status(self, reason: bytes) -> None:
+        """Append a part of the reason phrase."""
+        if not self._is_complete:
+            self._reason += reason.decode("latin-1")
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are not forwarded."""
         if not self._are_headers_complete:
@@ -189,6 +195,8 @@
         if self._status >= 200:
             self._bytes_without_progress = 0
         self._has_explicit_end = bool(names & {"content-length", "transfer-encoding"})
+        if contains_status_line(self._reason, self._headers):
+            self._resolve(ExchangeFailure.MALFORMED)
 
     def on_body(self, body: bytes) -> None:
         """Append a chunk of the body, within the bounds on one body and on all bodies."""
@@ -227,6 +235,7 @@
         self._complete()
 
     def _discard_response(self) -> None:
+        self._reason = ""
         self._headers.clear()
         self._release_body()
         self._are_headers_complete = False
@@ -237,6 +246,7 @@
 
     def _reset(self) -> None:
         self._status = 0
+        self._reason = ""
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
         self._has_response_bytes = False
--- /dev/null
+++ b/tests/platform_node/test_broken_answers.py
@@ -0,0 +1,53 @@
+"""Answers that break off, are written twice or merge, at each byte, on connections in memory."""
+
+import itertools
+import unittest
+
+from bamboo_standins.paused_clock import with_paused_clock
+from bamboojunction.core.outcomes import NotRun, Ran, Unknown
+from tests.platform_node.answers import (
+    REFUSED,
+    Script,
+    ScriptedPool,
+    answer,
+    each_cut,
+    send_in_turn,
+)
+
+REFUSAL = "503 Service Unavailable"
+# Sizes of the pieces in which a connection gets an answer, in bytes.
+PIECES = (1, 1_000_000)
+
+
+class SurplusTests(unittest.TestCase):
+    """The outcome of a call whose answer comes behind other bytes on a reused connection."""
+
+    @with_paused_clock
+    async def test_cut_copy_of_an_earlier_answer_never_merges_with_the_next_one(self):
+        """The status of an earlier refusal was taken for the status of the next call's answer."""
+        copies = (
+            answer("1", b"", REFUSAL, REFUSED),
+            answer("1"),
+            answer("1", framing="chunks"),
+            answer("1", b"", "204 No Content"),
+        )
+        answers = {
+            Ran: answer("2"),
+            Unknown: answer("2", b"failed", "500 Internal Server Error"),
+            NotRun: answer("2", b"", REFUSAL, REFUSED),
+        }
+        merged = []
+        for copy, (outcome_type, last), piece_bytes in itertools.product(
+            copies, answers.items(), PIECES
+        ):
+            for cut in each_cut(copy):
+                surplus = Script(cut + last, piece_bytes=piece_bytes)
+                pool = ScriptedPool([Script(answer("1")), surplus])
+                _, outcome = await send_in_turn(pool, "1", "2")
+                match outcome:
+                    case Unknown():
+                        continue
+                    case Ran(status=500, body=b"failed") if outcome_type is Unknown:
+                        continue
+                merged.append((cut, last, outcome))
+        self.assertEqual(merged, [])
