Answered 502 for successes that bear no stamp of an upstream

A faulty upstream answered with status 200 and the right request id, but without the stamp that its answers bear. The node passed it on, so the caller got a success that is not the upstream's.

Cause: the gate judged an answer by its request id alone.

Evidence: test_success_without_the_stamp_of_an_upstream_is_not_passed_on, for 200 and 204 and both effects.

The gate now takes a success whose headers hold no stamp, or lose it with the headers of the connection, for an unknown outcome. An idempotent call may be repeated within its limits, and any other gets 502, which promises nothing. Failures pass as before. The answers of the scripted upstream in test_upstream_connection bear a stamp from now on, as those of real ones do.

--- a/bamboojunction/platform/requests.py
+++ b/bamboojunction/platform/requests.py
@@ -13,6 +13,7 @@
 _EXPECT_INSTANCE = "bamboojunction-expect-instance"
 _CALLER_SERVICE = "bamboojunction-caller-service"
 _NOT_EXECUTED = "bamboojunction-not-executed"
+_STAMP = "bamboojunction-server-stamp"
 _MISDIRECTED_STATUS = 421
 # The node sets these on each upstream request and drops the values that a caller sent.
 _NODE_HEADERS = frozenset({_DEADLINE_MS, _EXPECT_INSTANCE, _CALLER_SERVICE})
@@ -106,6 +107,11 @@
     return status == _MISDIRECTED_STATUS
 
 
+def is_unstamped_success(status: int, headers: Headers) -> bool:
+    """Return whether a success lacks the stamp that marks the answer of an upstream."""
+    return 200 <= status < 300 and not any(name == _STAMP and value for name, value in headers)
+
+
 def end_to_end_headers(headers: Headers) -> Headers:
     """Return an upstream's response headers without the hop-by-hop ones."""
     dropped = _dropped_names(dict(headers), _HOP_BY_HOP_HEADERS)
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -88,10 +88,12 @@
             if requests.is_misdirected(response.status):
                 self.on_misdirected_call()
             return NotRun(NotRunReason.UPSTREAM_REFUSED), CompletionStatus.OVERLOADED
+        headers = requests.end_to_end_headers(response.headers)
+        if requests.is_unstamped_success(response.status, headers):
+            return Unknown(UnknownReason.TRUNCATED), CompletionStatus.FAILED
         completion_status = (
             CompletionStatus.FAILED if response.status >= 500 else CompletionStatus.SUCCEEDED
         )
-        headers = requests.end_to_end_headers(response.headers)
         return Ran(response.status, headers, response.body), completion_status
 
 
--- a/tests/adapter/test_requests.py
+++ b/tests/adapter/test_requests.py
@@ -43,6 +43,13 @@
         self.assertFalse(requests.is_refusal(503, ()))
         self.assertFalse(requests.is_refusal(500, ()))
 
+    def test_only_a_stamp_marks_a_success_as_an_upstreams(self):
+        stamped = (("bamboojunction-server-stamp", "s"),)
+        self.assertFalse(requests.is_unstamped_success(200, stamped))
+        self.assertTrue(requests.is_unstamped_success(200, ()))
+        self.assertTrue(requests.is_unstamped_success(204, (("bamboojunction-server-stamp", ""),)))
+        self.assertFalse(requests.is_unstamped_success(500, ()))
+
     def test_each_outcome_has_its_status(self):
         expected = {
             NotRun(NotRunReason.FULL, 0.25): 503,
--- a/tests/platform_node/answers.py
+++ b/tests/platform_node/answers.py
@@ -10,6 +10,7 @@
 from bamboojunction.core.memory_budget import MemoryBudget
 from bamboojunction.core.outcomes import Outcome
 from bamboojunction.core.routes import CurrentRoutes
+from bamboojunction.core.table.rows import Effect
 from bamboojunction.platform_node.gate import UpstreamSender
 from bamboojunction.upstreams.connection import UpstreamConnection
 from bamboojunction.upstreams.pool import UpstreamPool
@@ -83,9 +84,13 @@
             connection.connection_lost(ConnectionResetError())
 
 
-async def send_in_turn(pool: UpstreamPool, *request_ids: str) -> list[Outcome]:
-    """Send a request that is not idempotent for each id, and return the outcomes."""
-    sender = UpstreamSender(pool, CurrentRoutes())
+async def send_in_turn(
+    pool: UpstreamPool, *request_ids: str, effect: Effect = Effect.ONCE
+) -> list[Outcome]:
+    """Send a request for each id, and return the outcomes."""
+    routes = mock.Mock(spec=CurrentRoutes)
+    routes.row.return_value.effect = effect
+    sender = UpstreamSender(pool, routes)
     loop = asyncio.get_running_loop()
     outcomes = []
     for request_id in request_ids:
--- a/tests/platform_node/test_broken_answers.py
+++ b/tests/platform_node/test_broken_answers.py
@@ -4,7 +4,8 @@
 import unittest
 
 from bamboo_standins.paused_clock import with_paused_clock
-from bamboojunction.core.outcomes import NotRun, Ran, Unknown
+from bamboojunction.core.outcomes import NotRun, Ran, Unknown, UnknownReason
+from bamboojunction.core.table.rows import Effect
 from tests.platform_node.answers import (
     REFUSED,
     Script,
@@ -51,3 +52,16 @@
                         continue
                 merged.append((cut, last, outcome))
         self.assertEqual(merged, [])
+
+
+class ProofTests(unittest.TestCase):
+    """Answers with the id of their request that callers must not take for what they look like."""
+
+    @with_paused_clock
+    async def test_success_without_the_stamp_of_an_upstream_is_not_passed_on(self):
+        """An answer of status 200 without a stamp reached the caller as a success."""
+        for effect, status in itertools.product(Effect, ("200 OK", "204 No Content")):
+            with self.subTest(effect=effect, status=status):
+                pool = ScriptedPool([Script(answer("1", b"", status, extra=""))])
+                (outcome,) = await send_in_turn(pool, "1", effect=effect)
+                self.assertEqual(outcome, Unknown(UnknownReason.TRUNCATED))
--- a/tests/platform_node/test_upstream_connection.py
+++ b/tests/platform_node/test_upstream_connection.py
@@ -25,6 +25,7 @@
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 BODY_MAX_BYTES = 100_000
 MEMORY_BYTES = 1_000_000
+STAMP = "Bamboojunction-Server-Stamp: s\r\n"
 COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -59,7 +60,7 @@
 
 
 def response(
-    request_id: str, body: bytes = b"ok", status: str = "200 OK", extra: str = ""
+    request_id: str, body: bytes = b"ok", status: str = "200 OK", extra: str = STAMP
 ) -> bytes:
     head = f"HTTP/1.1 {status}\r\nBamboojunction-Request-Id: {request_id}\r\n{extra}"
     return head.encode() + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
