Stopped passing on unproven refusals of calls that are not idempotent

An upstream answered a call that is not idempotent with 408, 429 or 503 and the right request id, but without stating that it had not run the call. The node passed the status on. To callers it promises that the request did not run and never will, so they sent a request again that had run.

Cause: the gate told refusals from other answers by the upstream's statement, but returned the status of the others unchanged, also where callers read a promise in it.

Evidence: test_status_that_promises_not_run_is_passed_on_only_if_the_upstream_states_it. Before, it printed Ran(status=408, ...), Ran(status=429, ...) and Ran(status=503, ...) where Unknown(TRUNCATED) was expected.

Without the statement such an answer is now an unknown outcome, and the caller of a call that is not idempotent gets 502. Idempotent calls, which may be repeated in any case, get the answer unchanged.

--- a/bamboojunction/platform/requests.py
+++ b/bamboojunction/platform/requests.py
@@ -15,6 +15,8 @@
 _NOT_EXECUTED = "bamboojunction-not-executed"
 _STAMP = "bamboojunction-server-stamp"
 _MISDIRECTED_STATUS = 421
+# Callers take these for a statement that the request did not run.
+_NOT_RUN_STATUSES = frozenset({408, _MISDIRECTED_STATUS, 429, 503})
 # The node sets these on each upstream request and drops the values that a caller sent.
 _NODE_HEADERS = frozenset({_DEADLINE_MS, _EXPECT_INSTANCE, _CALLER_SERVICE})
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -102,6 +104,11 @@
     return status == _MISDIRECTED_STATUS or any(name == _NOT_EXECUTED for name, _ in headers)
 
 
+def tells_caller_not_run(status: int) -> bool:
+    """Return whether a caller takes an answer with this status for a refusal."""
+    return status in _NOT_RUN_STATUSES
+
+
 def is_misdirected(status: int) -> bool:
     """Return whether an instance other than the expected one responded."""
     return status == _MISDIRECTED_STATUS
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -51,11 +51,10 @@
         """Send a call and read the whole response, at most until the call's deadline."""
         # The event loop's clock may have a resolution of only one millisecond.
         started = time.monotonic()
-        is_idempotent = self._current_routes.row(call.kind).effect is Effect.IDEMPOTENT
         request = render_request(call, headers)
         response = await self._pool.exchange(
             request,
-            is_idempotent,
+            self._is_idempotent(call),
             lambda headers: requests.response_owner(headers, call.action),
             call.deadline,
         )
@@ -66,6 +65,9 @@
         is_crash_seen = is_broken and await self._pool.refuses_connections()
         return UpstreamResult(outcome, completion_status, seconds, is_crash_seen)
 
+    def _is_idempotent(self, call: Call) -> bool:
+        return self._current_routes.row(call.kind).effect is Effect.IDEMPOTENT
+
     def _interpret_response(
         self, call: Call, response: RawResponse | ExchangeFailure
     ) -> tuple[Outcome, CompletionStatus]:
@@ -89,7 +91,10 @@
                 self.on_misdirected_call()
             return NotRun(NotRunReason.UPSTREAM_REFUSED), CompletionStatus.OVERLOADED
         headers = requests.end_to_end_headers(response.headers)
-        if requests.is_unstamped_success(response.status, headers):
+        is_unproven = requests.is_unstamped_success(response.status, headers) or (
+            not self._is_idempotent(call) and requests.tells_caller_not_run(response.status)
+        )
+        if is_unproven:
             return Unknown(UnknownReason.TRUNCATED), CompletionStatus.FAILED
         completion_status = (
             CompletionStatus.FAILED if response.status >= 500 else CompletionStatus.SUCCEEDED
--- a/tests/platform_node/test_broken_answers.py
+++ b/tests/platform_node/test_broken_answers.py
@@ -4,7 +4,7 @@
 import unittest
 
 from bamboo_standins.paused_clock import with_paused_clock
-from bamboojunction.core.outcomes import NotRun, Ran, Unknown, UnknownReason
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Ran, Unknown, UnknownReason
 from bamboojunction.core.table.rows import Effect
 from tests.platform_node.answers import (
     REFUSED,
@@ -65,3 +65,17 @@
                 pool = ScriptedPool([Script(answer("1", b"", status, extra=""))])
                 (outcome,) = await send_in_turn(pool, "1", effect=effect)
                 self.assertEqual(outcome, Unknown(UnknownReason.TRUNCATED))
+
+    @with_paused_clock
+    async def test_status_that_promises_not_run_is_passed_on_only_if_the_upstream_states_it(self):
+        """A 503 of an upstream that may have run the call told its caller to send it again."""
+        for status in ("408 Request Timeout", "429 Too Many Requests", REFUSAL):
+            with self.subTest(status=status):
+                scripts = [Script(answer("1", status=status))]
+                (unsafe,) = await send_in_turn(ScriptedPool(scripts), "1")
+                self.assertEqual(unsafe, Unknown(UnknownReason.TRUNCATED))
+                (safe,) = await send_in_turn(ScriptedPool(scripts), "1", effect=Effect.IDEMPOTENT)
+                self.assertEqual((safe.status, safe.body), (int(status[:3]), b"ok"))
+                stated = Script(answer("1", b"", status, REFUSED))
+                (refused,) = await send_in_turn(ScriptedPool([stated]), "1")
+                self.assertEqual(refused, NotRun(NotRunReason.UPSTREAM_REFUSED))
