Sent repeated request ids to the upstream on new connections

A parent call that runs again makes its child calls again, under the same request ids. If the first run of such a child call was refused, and a faulty upstream wrote that refusal once more on the kept connection when the second run arrived, the node took it for the answer to the second run: it told "not run" about a call that the upstream was running, and could send it to another upstream.

Cause: the request id is the only proof that an answer belongs to a request. It proves nothing on a connection that has carried the same id before.

Evidence: test_refusal_that_is_written_again_does_not_refuse_a_later_run_of_its_request. Before, the second run ended as NotRun(UPSTREAM_REFUSED) on the first connection, where status 200 and two connections were expected.

--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -31,6 +31,7 @@
 from bamboojunction.upstreams.client import UpstreamResult
 from bamboojunction.upstreams.connection import ExchangeFailure, RawResponse
 from bamboojunction.upstreams.pool import UpstreamPool
+from bamboojunction.upstreams.recent_ids import RecentRequestIds
 
 # Used until the first heartbeat of the upstream reports the real number.
 INITIAL_SLOTS = 1
@@ -40,10 +41,11 @@
 class UpstreamSender:
     """A client that sends admitted calls to the local upstream."""
 
-    __slots__ = ("_current_routes", "_pool", "on_misdirected_call")
+    __slots__ = ("_current_routes", "_pool", "_sent_ids", "on_misdirected_call")
 
     def __init__(self, pool: UpstreamPool, current_routes: CurrentRoutes):
         self._pool = pool
+        self._sent_ids = RecentRequestIds()
         self._current_routes = current_routes
         self.on_misdirected_call = lambda: None
 
@@ -52,11 +54,15 @@
         # The event loop's clock may have a resolution of only one millisecond.
         started = time.monotonic()
         request = render_request(call, headers)
+        # A parent call that runs again makes its child calls again, under the same ids. On a
+        # connection that carried an id before, a late copy of the first answer looks like the next.
+        may_reuse = not self._sent_ids.record(call.action)
         response = await self._pool.exchange(
             request,
             self._is_idempotent(call),
             lambda headers: requests.response_owner(headers, call.action),
             call.deadline,
+            may_reuse,
         )
         outcome, completion_status = self._interpret_response(call, response)
         seconds = time.monotonic() - started
--- a/bamboojunction/upstreams/pool.py
+++ b/bamboojunction/upstreams/pool.py
@@ -56,15 +56,17 @@
         is_idempotent: bool,
         match_response: ResponseMatcher = match_any,
         deadline: float = math.inf,
+        may_reuse: bool = True,
     ) -> RawResponse | ExchangeFailure:
         """Send a request and return its response, the first that ``match_response`` accepts.
 
         ``deadline`` is in seconds on the event loop's clock; it is the latest time at which the
         exchange ends. A request that was written is never sent again here, as the upstream may have
         run it: whether it is repeated is for the caller to decide, within its limits. A request
-        that is not idempotent reuses a connection only shortly after its last response.
+        that is not idempotent reuses a connection only shortly after its last response, and one
+        without ``may_reuse`` gets a new connection.
         """
-        connection = self._take_idle(is_idempotent)
+        connection = self._take_idle(is_idempotent) if may_reuse else None
         if connection is not None:
             result = await self._exchange_on(connection, request, match_response, deadline)
             if result is not ExchangeFailure.NOT_SENT:
--- a/tests/platform_node/answers.py
+++ b/tests/platform_node/answers.py
@@ -49,12 +49,14 @@
 class Script:
     """The bytes after a request, in pieces of a size, and what follows them.
 
-    ``ending`` is "silent", "close" or "reset".
+    ``surplus`` comes ahead of them on a connection that carried a request before. ``ending`` is
+    "silent", "close" or "reset".
     """
 
     data: bytes
     ending: str = "silent"
     piece_bytes: int = 1_000_000
+    surplus: bytes = b""
 
 
 class ScriptedPool(UpstreamPool):
@@ -69,14 +71,17 @@
         connection = UpstreamConnection(self._body_max_bytes, self._memory)
         transport = mock.Mock(spec=asyncio.Transport)
         transport.get_write_buffer_size.return_value = 0
-        transport.write.side_effect = lambda data: self._loop.call_soon(self._play, connection)
+        transport.write.side_effect = lambda data: self._loop.call_soon(
+            self._play, connection, transport.write.call_count > 1
+        )
         connection.connection_made(transport)
         return connection
 
-    def _play(self, connection: UpstreamConnection) -> None:
+    def _play(self, connection: UpstreamConnection, is_reused: bool) -> None:
         script = next(self._scripts)
-        for start in range(0, len(script.data), script.piece_bytes):
-            connection.data_received(script.data[start : start + script.piece_bytes])
+        data = script.surplus + script.data if is_reused else script.data
+        for start in range(0, len(data), script.piece_bytes):
+            connection.data_received(data[start : start + script.piece_bytes])
         if script.ending == "close":
             connection.eof_received()
             connection.connection_lost(None)
--- a/tests/platform_node/test_broken_answers.py
+++ b/tests/platform_node/test_broken_answers.py
@@ -6,6 +6,7 @@
 from bamboo_standins.paused_clock import with_paused_clock
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Ran, Unknown, UnknownReason
 from bamboojunction.core.table.rows import Effect
+from bamboojunction.upstreams.recent_ids import RecentRequestIds
 from tests.platform_node.answers import (
     REFUSED,
     Script,
@@ -79,3 +80,18 @@
                 stated = Script(answer("1", b"", status, REFUSED))
                 (refused,) = await send_in_turn(ScriptedPool([stated]), "1")
                 self.assertEqual(refused, NotRun(NotRunReason.UPSTREAM_REFUSED))
+
+    @with_paused_clock
+    async def test_refusal_that_is_written_again_does_not_refuse_a_later_run_of_its_request(self):
+        """A call that ran at its second arrival was refused by a copy of its first answer."""
+        refusal = answer("1", b"", REFUSAL, REFUSED)
+        scripts = [Script(refusal), Script(answer("2")), Script(answer("1"), surplus=refusal)]
+        pool = ScriptedPool(scripts)
+        first, _, last = await send_in_turn(pool, "1", "2", "1")
+        self.assertEqual(first, NotRun(NotRunReason.UPSTREAM_REFUSED))
+        self.assertEqual((getattr(last, "status", last), pool.opened_count), (200, 2))
+
+    def test_only_the_latest_request_ids_are_remembered(self):
+        recent = RecentRequestIds(ids_max=2)
+        known = [recent.record(request_id) for request_id in ("1", "2", "1", "3", "1", "2")]
+        self.assertEqual(known, [False, False, True, False, True, False])
