Rejected answers whose status lies outside the protocol

A faulty upstream answered with a status line such as "HTTP/1.1 099 X". The node passed the status on and wrote "HTTP/1.1 99" to the caller, which is no answer in the protocol.

Cause: the parser accepts any three digits.

Evidence: test_answer_whose_status_is_outside_the_protocol_is_malformed. Before, it printed Ran(status=0, ...), 99, 600 and 999 where Unknown(TRUNCATED) was expected.

A response whose status is not from 100 to 599 now makes its exchange fail as malformed.

--- a/bamboojunction/upstreams/connection.py
+++ b/bamboojunction/upstreams/connection.py
@@ -18,6 +18,8 @@
 HEAD_MAX_BYTES = 65_536
 # Bound on complete responses to other requests that are skipped before the right one.
 FOREIGN_RESPONSES_MAX = 4
+# The status codes of HTTP (RFC 9110, section 15).
+STATUS_MIN, STATUS_MAX = 100, 599
 
 
 class ExchangeFailure(Enum):
@@ -195,7 +197,8 @@
         if self._status >= 200:
             self._bytes_without_progress = 0
         self._has_explicit_end = bool(names & {"content-length", "transfer-encoding"})
-        if contains_status_line(self._reason, self._headers):
+        is_known_status = STATUS_MIN <= self._status <= STATUS_MAX
+        if not is_known_status or contains_status_line(self._reason, self._headers):
             self._resolve(ExchangeFailure.MALFORMED)
 
     def on_body(self, body: bytes) -> None:
--- a/tests/platform_node/test_broken_answers.py
+++ b/tests/platform_node/test_broken_answers.py
@@ -95,3 +95,13 @@
         recent = RecentRequestIds(ids_max=2)
         known = [recent.record(request_id) for request_id in ("1", "2", "1", "3", "1", "2")]
         self.assertEqual(known, [False, False, True, False, True, False])
+
+    @with_paused_clock
+    async def test_answer_whose_status_is_outside_the_protocol_is_malformed(self):
+        """A status such as 99 was passed on, and its caller got bytes that are no answer."""
+        for status in ("000 X", "099 X", "600 X", "999 X"):
+            with self.subTest(status=status):
+                (outcome,) = await send_in_turn(
+                    ScriptedPool([Script(answer("1", status=status))]), "1"
+                )
+                self.assertEqual(outcome, Unknown(UnknownReason.TRUNCATED))
