Stopped using upstream connections whose end was seen

A request could be written to an idle connection that the upstream had just closed. It was dropped unsent, yet its outcome was "lost", so the caller of a call that is not idempotent got 502 for a request that no upstream saw.

Cause: the event loop reports the end of the stream one step before the loss of the connection, and in between the connection still counted as reusable.

Evidence: test_connection_that_the_upstream_just_closed_carries_no_further_request starts an exchange at that moment. Before, three runs of three printed "ExchangeFailure.CLOSED != 200"; after, the request gets its answer on a new connection.

The end of the stream now ends the connection's reuse at once.

--- a/bamboojunction/upstreams/connection.py
+++ b/bamboojunction/upstreams/connection.py
@@ -158,6 +158,9 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
+        # The loss of the connection is reported one step later.
+        self._is_closed = True
+        self.is_reusable = False
         if self._waiter is not None and self._are_headers_complete and not self._has_explicit_end:
             self._end_response(keep_alive=False)
         return False
--- a/tests/platform_node/test_upstream_connection.py
+++ b/tests/platform_node/test_upstream_connection.py
@@ -149,6 +149,26 @@
             result = await pool.exchange(REQUEST, is_idempotent=True)
         self.assertIs(result, ExchangeFailure.CLOSED)
 
+    async def test_connection_that_the_upstream_just_closed_carries_no_further_request(self):
+        """A request was reported as lost that was never sent, as its connection was closing."""
+        pool = await self.start_pool(ScriptedUpstream(COMPLETE_RESPONSE, at_end="close"))
+        at_end: list[asyncio.Task] = []
+
+        class Connection(UpstreamConnection):
+            def eof_received(self) -> bool:
+                stays_open = super().eof_received()
+                if not at_end:
+                    at_end.append(asyncio.create_task(pool.exchange(REQUEST, is_idempotent=False)))
+                return stays_open
+
+        with mock.patch.object(pool_module, "UpstreamConnection", Connection):
+            await pool.exchange(REQUEST, is_idempotent=False)
+            async with asyncio.timeout(5.0):
+                while not at_end:
+                    await asyncio.sleep(0.01)
+                result = await at_end[0]
+        self.assertEqual(getattr(result, "status", result), 200)
+
     async def test_lost_response_of_a_non_idempotent_request_is_never_sent_again(self):
         upstream = ScriptedUpstream(b"", at_end="close")
         pool = await self.start_pool(upstream)
