Tested answers that break off at each byte

The outcome of a call is checked for answers that break off at each byte of a status line, head, interim answer, chunk size, chunk, trailer or body, and for whole ones: framed by length, by chunks or by the end; a success and a refusal; in pieces of one byte and at once; followed by a close, a reset or silence; on a new and on a reused connection. The connection is in memory and the clock is paused.

--- a/tests/platform_node/answers.py
+++ b/tests/platform_node/answers.py
@@ -2,15 +2,14 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterable
-from dataclasses import dataclass
-from unittest import mock
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 
 from bamboojunction.core.calls import Call
 from bamboojunction.core.memory_budget import MemoryBudget
 from bamboojunction.core.outcomes import Outcome
 from bamboojunction.core.routes import CurrentRoutes
-from bamboojunction.core.table.rows import Effect
+from bamboojunction.core.table.rows import DEFAULT_ROW, Effect, Row
 from bamboojunction.platform_node.gate import UpstreamSender
 from bamboojunction.upstreams.connection import UpstreamConnection
 from bamboojunction.upstreams.pool import UpstreamPool
@@ -59,6 +58,27 @@
     surplus: bytes = b""
 
 
+class MemoryTransport(asyncio.Transport):
+    """A transport that calls back for each request, with whether it carried one before."""
+
+    def __init__(self, on_request: Callable[[bool], None]):
+        super().__init__()
+        self._on_request = on_request
+        self._is_used = False
+
+    def write(self, data: bytes) -> None:
+        """Pass on that a request was written."""
+        self._on_request(self._is_used)
+        self._is_used = True
+
+    def get_write_buffer_size(self) -> int:
+        """Return 0, as all bytes are sent at once."""
+        return 0
+
+    def abort(self) -> None:
+        """Do nothing: the connection does not wait for its loss."""
+
+
 class ScriptedPool(UpstreamPool):
     """A pool whose connections are in memory; each request gets the next script."""
 
@@ -69,17 +89,14 @@
     async def _open(self, timeout_at: float) -> UpstreamConnection:
         self.opened_count += 1
         connection = UpstreamConnection(self._body_max_bytes, self._memory)
-        transport = mock.Mock(spec=asyncio.Transport)
-        transport.get_write_buffer_size.return_value = 0
-        transport.write.side_effect = lambda data: self._loop.call_soon(
-            self._play, connection, transport.write.call_count > 1
+        connection.connection_made(
+            MemoryTransport(lambda is_used: self._loop.call_soon(self._play, connection, is_used))
         )
-        connection.connection_made(transport)
         return connection
 
-    def _play(self, connection: UpstreamConnection, is_reused: bool) -> None:
+    def _play(self, connection: UpstreamConnection, is_used: bool) -> None:
         script = next(self._scripts)
-        data = script.surplus + script.data if is_reused else script.data
+        data = script.surplus + script.data if is_used else script.data
         for start in range(0, len(data), script.piece_bytes):
             connection.data_received(data[start : start + script.piece_bytes])
         if script.ending == "close":
@@ -89,13 +106,23 @@
             connection.connection_lost(ConnectionResetError())
 
 
+class RoutesOfOneEffect(CurrentRoutes):
+    """Routes whose rows all have the same effect."""
+
+    def __init__(self, effect: Effect):
+        super().__init__()
+        self._row = replace(DEFAULT_ROW, effect=effect)
+
+    def row(self, kind: str) -> Row:
+        """Return the row of each kind."""
+        return self._row
+
+
 async def send_in_turn(
     pool: UpstreamPool, *request_ids: str, effect: Effect = Effect.ONCE
 ) -> list[Outcome]:
     """Send a request for each id, and return the outcomes."""
-    routes = mock.Mock(spec=CurrentRoutes)
-    routes.row.return_value.effect = effect
-    sender = UpstreamSender(pool, routes)
+    sender = UpstreamSender(pool, RoutesOfOneEffect(effect))
     loop = asyncio.get_running_loop()
     outcomes = []
     for request_id in request_ids:
--- a/tests/platform_node/test_broken_answers.py
+++ b/tests/platform_node/test_broken_answers.py
@@ -8,7 +8,9 @@
 from bamboojunction.core.table.rows import Effect
 from bamboojunction.upstreams.recent_ids import RecentRequestIds
 from tests.platform_node.answers import (
+    INTERIM,
     REFUSED,
+    STAMP,
     Script,
     ScriptedPool,
     answer,
@@ -19,6 +21,34 @@
 REFUSAL = "503 Service Unavailable"
 # Sizes of the pieces in which a connection gets an answer, in bytes.
 PIECES = (1, 1_000_000)
+BODY = b"0123456789abcdef"
+# Statuses with the headers that go with them.
+KINDS = (("200 OK", STAMP), (REFUSAL, REFUSED))
+
+
+class CutTests(unittest.TestCase):
+    """The outcome of a call whose answer breaks off, at each byte."""
+
+    @with_paused_clock
+    async def test_answer_is_taken_only_if_it_is_whole(self):
+        forms = itertools.product(("length", "chunks", "end"), (b"", INTERIM), KINDS, PIECES)
+        for framing, interim, (status, extra), piece_bytes in forms:
+            whole = interim + answer("2", BODY, status, extra, framing)
+            for ending, is_reused in itertools.product(("close", "reset", "silent"), (False, True)):
+                earlier = ("1",) if is_reused else ()
+                for cut in (*each_cut(whole), whole):
+                    # A body without a length ends with its connection, wherever that closes.
+                    ends_here = framing == "end" and ending == "close"
+                    is_whole = len(cut) >= len(whole) - ends_here * len(BODY)
+                    is_whole = is_whole and (framing != "end" or ends_here)
+                    expected = Unknown if not is_whole else NotRun if extra == REFUSED else Ran
+                    scripts = [*map(Script, map(answer, earlier)), Script(cut, ending, piece_bytes)]
+                    outcome = (await send_in_turn(ScriptedPool(scripts), *earlier, "2"))[-1]
+                    with self.subTest(cut=cut, ending=ending, is_reused=is_reused):
+                        self.assertIsInstance(outcome, expected)
+                        if expected is Ran:
+                            body = cut[len(whole) - len(BODY) :] if ends_here else BODY
+                            self.assertEqual((outcome.status, outcome.body), (200, body))
 
 
 class SurplusTests(unittest.TestCase):
