Collected reason phrases in a buffer

An upstream may send a reason phrase in many small pieces. Each piece was appended to a text, which copies what came before, up to the bound on a head. They are now appended to a buffer and decoded once.

--- a/bamboojunction/upstreams/connection.py
+++ b/bamboojunction/upstreams/connection.py
@@ -183,7 +183,7 @@
     def on_status(self, reason: bytes) -> None:
         """Append a part of the reason phrase."""
         if not self._is_complete:
-            self._reason += reason.decode("latin-1")
+            self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are not forwarded."""
@@ -201,7 +201,8 @@
             self._bytes_without_progress = 0
         self._has_explicit_end = bool(names & {"content-length", "transfer-encoding"})
         is_known_status = STATUS_MIN <= self._status <= STATUS_MAX
-        if not is_known_status or contains_status_line(self._reason, self._headers):
+        reason = self._reason.decode("latin-1")
+        if not is_known_status or contains_status_line(reason, self._headers):
             self._resolve(ExchangeFailure.MALFORMED)
 
     def on_body(self, body: bytes) -> None:
@@ -241,7 +242,7 @@
         self._complete()
 
     def _discard_response(self) -> None:
-        self._reason = ""
+        self._reason.clear()
         self._headers.clear()
         self._release_body()
         self._are_headers_complete = False
@@ -252,7 +253,7 @@
 
     def _reset(self) -> None:
         self._status = 0
-        self._reason = ""
+        self._reason = bytearray()
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
         self._has_response_bytes = False
