Bounded the chunk extensions of upstream answers

An upstream that is faulty may send chunks of one byte with long extensions without end. The node read them until the body reached its bound: at a body bound of 100 KB the upstream got rid of 107 MB, whose parsing takes time from all other callers of the node.

Cause: each byte of a body reset the count of bytes that bring an answer no further.

Evidence: test_bytes_without_end_are_cut_at_a_bound checks now how much an upstream could send, and has four more forms of answers without end. Before, it printed "[chunk extensions] not less than"; the other ten passed.

One byte of a body now makes up for 64 bytes outside it, so chunks of single bytes still pass, and answers that are mostly extensions are cut at the bound on heads.

--- a/bamboojunction/upstreams/connection.py
+++ b/bamboojunction/upstreams/connection.py
@@ -16,6 +16,8 @@
 # Bound on the bytes that bring a response neither to the end of its head nor on in its body:
 # headers, interim (1xx) responses and trailers.
 HEAD_MAX_BYTES = 65_536
+# Bytes of chunk framing that one byte of a body makes up for.
+FRAMING_BYTES_PER_BODY_BYTE = 64
 # Bound on complete responses to other requests that are skipped before the right one.
 FOREIGN_RESPONSES_MAX = 4
 # The status codes of HTTP (RFC 9110, section 15).
@@ -209,7 +211,8 @@
         """Append a chunk of the body, within the bounds on one body and on all bodies."""
         if self._is_complete or self._is_oversized:
             return
-        self._bytes_without_progress = 0
+        progress = len(body) * FRAMING_BYTES_PER_BODY_BYTE
+        self._bytes_without_progress = max(0, self._bytes_without_progress - progress)
         is_within_bounds = len(self._body) + len(
             body
         ) <= self._body_max_bytes and self._reservation.grow(len(body))
--- a/tests/platform_node/test_upstream_connection.py
+++ b/tests/platform_node/test_upstream_connection.py
@@ -20,10 +20,17 @@
 from bamboojunction.upstreams import pool as pool_module
 from bamboojunction.upstreams.connection import ExchangeFailure, RawResponse, UpstreamConnection
 from bamboojunction.upstreams.pool import UpstreamPool
-from tests.endless import RESPONSES, EndlessServer
+from tests.endless import FILLER, RESPONSES, SOCKET_BUFFER_BYTES_MAX, EndlessServer
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 BODY_MAX_BYTES = 100_000
+CHUNKED_START = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+MORE_RESPONSES = {
+    "reason phrase": (b"HTTP/1.1 200 ", FILLER),
+    "chunk extension": (CHUNKED_START + b"1;", FILLER),
+    "chunk extensions": (CHUNKED_START, b"1;" + FILLER + b"\r\nx\r\n"),
+    "interim reason phrase": (b"HTTP/1.1 100 ", FILLER),
+}
 MEMORY_BYTES = 1_000_000
 STAMP = "Bamboojunction-Server-Stamp: s\r\n"
 COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -207,7 +214,8 @@
         self.assertIs(result, ExchangeFailure.MALFORMED)
 
     async def test_bytes_without_end_are_cut_at_a_bound(self):
-        for name, (start, repeated) in RESPONSES.items():
+        """Chunks of one byte with long extensions went on until the body reached its bound."""
+        for name, (start, repeated) in (RESPONSES | MORE_RESPONSES).items():
             with self.subTest(name):
                 upstream = EndlessServer(start, repeated)
                 pool = await self.start_pool(upstream)
@@ -215,6 +223,7 @@
                     result = await pool.exchange(REQUEST, is_idempotent=False)
                     self.assertIs(result, ExchangeFailure.OVERSIZED)
                     await upstream.is_cut.wait()
+                self.assertLess(upstream.sent_bytes, SOCKET_BUFFER_BYTES_MAX)
 
     async def test_endless_bodies_are_freed_without_the_garbage_collector(self):
         """Bodies of failed responses stayed in memory, outside the budget, until a collection."""
