Tested that callers are served beside answers without end

Seven forms of answers without end fill all slots of an upstream but one, through the gate of another node. No fault was found: their callers get 502 without a stamp, all other requests get their answers meanwhile, and no memory for bodies is held afterwards.

--- a/tests/platform_node/cut_upstream.py
+++ b/tests/platform_node/cut_upstream.py
@@ -14,14 +14,15 @@
 
 @dataclass(slots=True, frozen=True)
 class CutAnswer:
-    """The beginning of an answer, and its "close", "reset" or "silent" ending.
+    """The beginning of an answer, and its "close", "reset", "silent" or "endless" ending.
 
-    A streamed answer comes in two parts.
+    A streamed answer comes in two parts, and an endless one repeats its filler.
     """
 
     data: bytes
     ending: str
     is_streamed: bool = False
+    filler: bytes = b""
 
 
 class CutUpstream(Upstream):
@@ -72,6 +73,9 @@
         await asyncio.sleep(0.002 if middle else 0)
         writer.write(cut.data[middle:])
         await writer.drain()
+        while cut.ending == "endless":
+            writer.write(cut.filler)
+            await writer.drain()
         if cut.ending == "silent":
             await reader.read()
         elif cut.ending == "reset":
--- a/tests/platform_node/test_broken_answers_path.py
+++ b/tests/platform_node/test_broken_answers_path.py
@@ -5,6 +5,7 @@
 import random
 from unittest import mock
 
+from tests.endless import RESPONSES
 from tests.platform_node import fleet
 from tests.platform_node.answers import answer
 from tests.platform_node.base import FleetTestCase
@@ -123,6 +124,28 @@
                     # Reads may be repeated at the second upstream of their service.
                     self.assertLessEqual(self.runs(path), 1 if "pay" in path else 2)
 
+    async def test_callers_are_served_while_an_upstream_sends_bytes_without_end(self):
+        endless = [
+            CutAnswer(start, "endless", filler=repeated) for start, repeated in RESPONSES.values()
+        ]
+        self.cut_by_path |= {f"/pay/{number}": cut for number, cut in enumerate(endless)}
+        # All of them together leave one of the upstream's slots.
+        floods = [asyncio.create_task(self.send("a", path, path)) for path in self.cut_by_path]
+        answers = []
+        while not all(flood.done() for flood in floods):
+            answers.append(await self.send("a", f"/pay/whole/{len(answers)}", f"{len(answers)}"))
+        for status, headers, _ in await asyncio.gather(*floods):
+            self.assertEqual(status, 502)
+            self.assertNotIn("Bamboojunction-Server-Stamp", headers)
+        for number, (status, headers, text) in enumerate(answers):
+            self.assertEqual((status, text), (200, f"/pay/whole/{number}".encode()))
+            self.assertEqual(headers["Bamboojunction-Request-Id"], f"{number}")
+        self.assertGreater(len(answers), 0)
+        machines = self.fleet.machines.values()
+        await self.fleet.wait_until(
+            lambda: all(not machine.node.body_memory.held_bytes for machine in machines)
+        )
+
     async def send_pipelined(self, name: str, paths: list[str]) -> list[tuple[int, str, bytes]]:
         """Send requests in one write, and return the status, id and body of each answer."""
         host, port = self.fleet.machines[name].settings.caller_address.split(":")
