--- a/bamboojunction/platform/requests.py
+++ b/bamboojunction/platform/requests.py
@@ -13,7 +13,10 @@
 _EXPECT_INSTANCE = "bamboojunction-expect-instance"
 _CALLER_SERVICE = "bamboojunction-caller-service"
 _NOT_EXECUTED = "bamboojunction-not-executed"
+_STAMP = "bamboojunction-server-stamp"
 _MISDIRECTED_STATUS = 421
+# Callers take these for a statement that the request did not run.
+_NOT_RUN_STATUSES = frozenset({408, _MISDIRECTED_STATUS, 429, 503})
 # The node sets these on each upstream request and drops the values that a caller sent.
 _NODE_HEADERS = frozenset({_DEADLINE_MS, _EXPECT_INSTANCE, _CALLER_SERVICE})
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -101,11 +104,21 @@
     return status == _MISDIRECTED_STATUS or any(name == _NOT_EXECUTED for name, _ in headers)
 
 
+def tells_caller_not_run(status: int) -> bool:
+    """Return whether a caller takes an answer with this status for a refusal."""
+    return status in _NOT_RUN_STATUSES
+
+
 def is_misdirected(status: int) -> bool:
     """Return whether an instance other than the expected one responded."""
     return status == _MISDIRECTED_STATUS
 
 
+def is_unstamped_success(status: int, headers: Headers) -> bool:
+    """Return whether a success lacks the stamp that marks the answer of an upstream."""
+    return 200 <= status < 300 and not any(name == _STAMP and value for name, value in headers)
+
+
 def end_to_end_headers(headers: Headers) -> Headers:
     """Return an upstream's response headers without the hop-by-hop ones."""
     dropped = _dropped_names(dict(headers), _HOP_BY_HOP_HEADERS)
