Counted the repeats of a replay against the fleet's limit

A replay now records each arrival at an upstream, and counts those beyond the first of each request in sliding windows. Calls of a repeated run count as repeats, at any depth.

--- a/devtools/bamboo_bench/replay/clients.py
+++ b/devtools/bamboo_bench/replay/clients.py
@@ -102,6 +102,7 @@
                 await asyncio.sleep(CLIENT_DELAY_SECONDS)
                 now = self._loop.time()
                 request_id = f"r{next(self._request_ids)}"
+                self._fleet.arrivals.record_request(kind.service, now)
                 request = request_for(kind.name, request_id, deadline - now, now)
                 response = await node.app.handle(request)
                 await asyncio.sleep(CLIENT_DELAY_SECONDS)
--- a/devtools/bamboo_bench/replay/fleet.py
+++ b/devtools/bamboo_bench/replay/fleet.py
@@ -7,13 +7,13 @@
 import random
 from collections import Counter, defaultdict
 
+from bamboo_bench.replay.arrivals import Arrivals
 from bamboo_bench.replay.pattern import Conditions, KindPattern, Pattern, ServicePattern
 from bamboojunction.core.admission.gate import CompletionStatus
 from bamboojunction.core.calls import Call
 from bamboojunction.core.http_messages import HttpRequest, HttpResponse
 from bamboojunction.core.membership.view import Announcement, MembershipView
-from bamboojunction.core.outcomes import NotRun, NotRunReason, Ran, Unknown, UnknownReason
-from bamboojunction.core.retries.fleet_budget import RetryLimit
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Ran, Unknown, UnknownReason
 from bamboojunction.core.routes import CurrentRoutes, Route, Routes, WeightedService
 from bamboojunction.core.routing.router import Router
 from bamboojunction.core.table.rows import Effect, Row, default_weight
@@ -121,9 +121,10 @@
         """Run a call until its deadline."""
         self._fleet.arrivals_by_instance[self._node.instance] += 1
         started_at = self._loop.time()
+        is_repeat = self._fleet.arrivals.record_arrival(call.service, call.action, started_at)
         try:
             async with asyncio.timeout_at(call.deadline):
-                outcome = await self._serve(call)
+                outcome = await self._serve(call, is_repeat)
         except TimeoutError:
             outcome = Unknown(UnknownReason.DEADLINE)
         match outcome:
@@ -135,8 +136,9 @@
                 status = CompletionStatus.FAILED
         return UpstreamResult(outcome, status, self._loop.time() - started_at)
 
-    async def _serve(self, call: Call) -> Ran | NotRun:
-        share = self._fleet.conditions.refused_share_by_service.get(self._service.name, 0.0)
+    async def _serve(self, call: Call, is_repeat: bool) -> Outcome:
+        conditions = self._fleet.conditions
+        share = conditions.refused_share_by_service.get(self._service.name, 0.0)
         is_full = self._slots.locked() and self._waiting >= self._service.queue
         if is_full or self._fleet.random.random() < share:
             await asyncio.sleep(REFUSAL_SECONDS)
@@ -147,18 +149,28 @@
         finally:
             self._waiting -= 1
         try:
-            return await self._run(call)
+            outcome = await self._run(call, is_repeat)
         finally:
             self._slots.release()
+        share = conditions.lost_share_by_service.get(self._service.name, 0.0)
+        if share and self._fleet.random.random() < share:
+            return Unknown(UnknownReason.LOST_UPSTREAM)
+        return outcome
 
-    async def _run(self, call: Call) -> Ran:
+    async def _run(self, call: Call, is_repeat: bool) -> Ran:
         kind = self._fleet.kind_by_name[call.kind]
         await asyncio.sleep(self._work_seconds(kind))
         calls = itertools.chain.from_iterable(
             itertools.repeat(child.kind, child.times) for child in kind.calls
         )
+        run = self._fleet.arrivals.count_by_action[call.action]
         for number, child_kind in enumerate(calls):
-            response = await self._call_child(f"{call.action}.{number}", child_kind, call.deadline)
+            request_id = f"{call.action}.{number}"
+            if is_repeat:
+                # The calls of each run have ids of their own.
+                request_id += f"r{run}"
+                self._fleet.arrivals.record_call_of_repeat(request_id)
+            response = await self._call_child(request_id, child_kind, call.deadline)
             if response.status != 200:
                 return Ran(FAILED_STATUS)
         return Ran(200)
@@ -210,7 +222,7 @@
             self.view,
             SimulatedLinks(fleet, self.instance),
             self.gate,
-            RetryLimit(pattern.retry_ratio, pattern.retry_slack, pattern.retry_window_seconds),
+            pattern.retry_limit,
             events,
             rng,
         )
@@ -238,6 +250,7 @@
         self.routes.replace_if_newer(routes_of(pattern))
         self.log_descriptor = os.open(os.devnull, os.O_WRONLY)
         self.arrivals_by_instance: Counter[str] = Counter()
+        self.arrivals = Arrivals()
         self.node_by_instance: dict[str, ReplayNode] = {}
         self.instances_by_service: dict[str, list[str]] = defaultdict(list)
         data_centres = itertools.cycle(pattern.data_centres)
--- a/devtools/bamboo_bench/replay/pattern.py
+++ b/devtools/bamboo_bench/replay/pattern.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from bamboojunction.core.retries.fleet_budget import RetryLimit
+
 PATTERNS_DIRECTORY = Path(__file__).parent / "patterns"
 
 
@@ -83,7 +85,16 @@
     factor: float
 
 
-Change = Burst | Refusals | Slowdown
+class LostAnswers(msgspec.Struct, frozen=True, tag="lost-answers"):
+    """The upstreams of a service lose the answers of a ``share`` of the calls that they ran."""
+
+    at: float
+    seconds: float
+    service: str
+    share: float
+
+
+Change = Burst | LostAnswers | Refusals | Slowdown
 
 
 class Pattern(msgspec.Struct, frozen=True):
@@ -118,6 +129,11 @@
             ),
         )
 
+    @property
+    def retry_limit(self) -> RetryLimit:
+        """Return the fleet's limit on retries."""
+        return RetryLimit(self.retry_ratio, self.retry_slack, self.retry_window_seconds)
+
     @property
     def measured_until(self) -> float:
         """Return the end of the time from which figures are taken."""
@@ -146,11 +162,12 @@
     factor_by_kind: dict[str, float]
     refused_share_by_service: dict[str, float]
     slowness_by_instance: dict[str, float]
+    lost_share_by_service: dict[str, float]
 
     @classmethod
     def usual(cls) -> "Conditions":
         """Return the conditions without any change."""
-        return cls({}, {}, {})
+        return cls({}, {}, {}, {})
 
     def begin(self, change: Change, instances_by_service: dict[str, list[str]]) -> None:
         """Apply a change."""
@@ -159,6 +176,8 @@
                 self.factor_by_kind[kind] = factor
             case Refusals(service=service, share=share):
                 self.refused_share_by_service[service] = share
+            case LostAnswers(service=service, share=share):
+                self.lost_share_by_service[service] = share
             case Slowdown(service=service, share=share, factor=factor):
                 instances = instances_by_service[service]
                 slow = instances[: round(share * len(instances))]
@@ -169,7 +188,7 @@
         match change:
             case Burst():
                 self.begin(msgspec.structs.replace(change, factor=1.0), instances_by_service)
-            case Refusals():
+            case Refusals() | LostAnswers():
                 self.begin(msgspec.structs.replace(change, share=0.0), instances_by_service)
             case Slowdown():
                 self.begin(msgspec.structs.replace(change, factor=1.0), instances_by_service)
--- a/devtools/bamboo_bench/replay/runner.py
+++ b/devtools/bamboo_bench/replay/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from bamboo_bench.replay.arrivals import BusiestWindow
 from bamboo_bench.replay.clients import Clients, RequestRecord
 from bamboo_bench.replay.figures import ReplayFigures
 from bamboo_bench.replay.fleet import ReplayFleet
@@ -12,10 +13,14 @@
 
 @dataclass(slots=True)
 class ReplayResult:
-    """The records of the requests of one replay, and the figures computed from them."""
+    """The records of the requests of one replay, and the figures computed from them.
+
+    ``busiest_windows`` holds, by service, the window whose repeats exceed the fleet's limit most.
+    """
 
     records: list[RequestRecord]
     figures: ReplayFigures
+    busiest_windows: dict[str, BusiestWindow]
 
 
 def replay(pattern: Pattern, seed: int) -> ReplayResult:
@@ -33,7 +38,15 @@
         for task in changes:
             task.cancel()
         fleet.close()
-    return ReplayResult(clients.records, ReplayFigures.of_replay(fleet, clients.records))
+    retry_limit = pattern.retry_limit
+    return ReplayResult(
+        clients.records,
+        ReplayFigures.of_replay(fleet, clients.records),
+        {
+            service.name: fleet.arrivals.busiest_window(service.name, retry_limit)
+            for service in pattern.services
+        },
+    )
 
 
 async def _apply(fleet: ReplayFleet, change: Change) -> None:
