Charged refusals by the upstream of a stopping node

Callers of a kind could reach further upstreams without the retry budget and beyond the attempts of their route while a node stopped: its gate reported each call that was not run as "unreachable", also those that its upstream had refused, and the router moves on from an unreachable gate for free. An upstream that refuses counts as an arrival.

Evidence: the test serves a call at a gate that is stopped before the upstream refuses. Before, it printed "<NotRunReason.UNREACHABLE: 'unreachable'> is not <NotRunReason.UPSTREAM_REFUSED: 'upstream-refused'>"; now it passes.

Only refusals of the gate itself are still reported as unreachable. The others keep their reason, with which a repeat costs a retry and an attempt.

--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -95,6 +95,11 @@
         return Ran(response.status, headers, response.body), completion_status
 
 
+def _is_refused_by_gate(outcome: Outcome) -> bool:
+    """Return whether a call was not run and never reached the upstream."""
+    return isinstance(outcome, NotRun) and outcome.reason is not NotRunReason.UPSTREAM_REFUSED
+
+
 def render_request(call: Call, headers: list[tuple[str, str]]) -> bytes:
     """Return the bytes of an HTTP/1.1 request with a Content-Length body."""
     lines = [f"{call.method} {call.path} HTTP/1.1"]
@@ -169,7 +174,7 @@
     async def _serve(self, call: Call) -> GateReply:
         started = self._loop.time()
         reply = await self._serve_or_refuse(call)
-        if self._is_stopping and isinstance(reply.outcome, NotRun):
+        if self._is_stopping and _is_refused_by_gate(reply.outcome):
             # The upstream keeps running while this node restarts, so peers should soon retry here.
             reply = self._refusal_reply(call, NotRun(NotRunReason.UNREACHABLE))
         seconds = self._loop.time() - started
