Shared the slack of the retry limit by the nodes that were seen a minute ago

While a data centre was cut off, each side could spend the whole fleet's slack: a node divides it by the number of instances that it sees, and each side removes the other one from its view. A service could so get more repeats than the limit allows.

Evidence: the test lets thirteen nodes save for 20 s, then 8 of them see 8 nodes and 5 see 5, and all spend for one window without any request. Before, it printed "64 not less than or equal to 48.0"; now it passes.

A node that sees fewer nodes divides the slack by the earlier number for a minute. A larger number counts at once. The share that requests earn is not affected.

--- a/bamboojunction/core/retries/fleet_budget.py
+++ b/bamboojunction/core/retries/fleet_budget.py
@@ -11,6 +11,9 @@
 # Unspent retries expire after this share of the window.
 RETRY_TTL_SHARE = 0.5
 UNSPENT_RETRIES_MAX = 1_000
+# A node that sees fewer nodes than before divides the slack by the earlier number for this long:
+# the others may only be out of sight and still spend their share.
+SIZE_MEMORY_SECONDS = 60.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -22,6 +25,29 @@
     window: float
 
 
+class FleetSize:
+    """The number of nodes that share the fleet's limit, the largest one of the recent past."""
+
+    __slots__ = ("_largest", "_largest_until", "_latest")
+
+    def __init__(self):
+        self._latest = self._largest = 1
+        self._largest_until = 0.0
+
+    def record(self, count: int, now: float) -> None:
+        """Record how many nodes are seen from now on."""
+        if self._latest == self._largest:
+            self._largest_until = now + SIZE_MEMORY_SECONDS
+        self._latest = count
+        self._largest = max(self._largest, count)
+
+    def count(self, now: float) -> int:
+        """Return the number of nodes to divide the slack by."""
+        if now >= self._largest_until:
+            self._largest = self._latest
+        return self._largest
+
+
 class FleetRetryBudget:
     """The retries that one node may spend for one service.
 
--- a/bamboojunction/platform_node/forwarder.py
+++ b/bamboojunction/platform_node/forwarder.py
@@ -9,7 +9,7 @@
 from bamboojunction.core.membership.view import MembershipView
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
 from bamboojunction.core.retries.combined_outcome import combined_outcome
-from bamboojunction.core.retries.fleet_budget import FleetRetryBudget, RetryLimit
+from bamboojunction.core.retries.fleet_budget import FleetRetryBudget, FleetSize, RetryLimit
 from bamboojunction.core.retries.forwarding import (
     REFUSED_BEFORE_UPSTREAM,
     RequestAttempts,
@@ -31,10 +31,10 @@
     __slots__ = (
         "_budget_by_service",
         "_events",
+        "_fleet_size",
         "_local_gate",
         "_random",
         "_retry_limit",
-        "node_count",
     )
 
     def __init__(
@@ -54,7 +54,16 @@
         self._events = events
         self._budget_by_service: dict[str, FleetRetryBudget] = {}
         self._local_gate = gate
-        self.node_count = 1
+        self._fleet_size = FleetSize()
+
+    @property
+    def node_count(self) -> int:
+        """Return the number of nodes that share the retry limit; a new one may be set."""
+        return self._fleet_size.count(self._loop.time())
+
+    @node_count.setter
+    def node_count(self, count: int) -> None:
+        self._fleet_size.record(count, self._loop.time())
 
     def set_retry_limit(self, retry_limit: RetryLimit) -> None:
         """Replace the retry limit and discard the budgets earned under the old one."""
