--- a/devtools/bamboo_standins/process_fleet.py
+++ b/devtools/bamboo_standins/process_fleet.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import sys
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -34,6 +35,8 @@
 LINK_SECRET = "fleet-secret"
 
 _PORT_RANDOM = random.SystemRandom()
+# The ports that this process has handed out lately: they may not be listened on yet.
+_RECENT_PORTS: deque[int] = deque(maxlen=1_000)
 
 
 @dataclass(slots=True, frozen=True)
@@ -435,19 +438,22 @@
 
 
 def free_port(host: str) -> int:
-    """Return an unused port below the kernel's range of ephemeral ports.
+    """Return an unused port below the kernel's range of ephemeral ports, a new one at each call.
 
     An ephemeral port could be assigned to an outgoing connection between this check and the start
     of the process that will listen on the port.
     """
     while True:
         port = _PORT_RANDOM.randrange(*LISTENING_PORT_RANGE)
+        if port in _RECENT_PORTS:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((host, port))
             except OSError:
                 continue
-            return port
+        _RECENT_PORTS.append(port)
+        return port
 
 
 def _header_name(keyword: str) -> str:
