--- a/devtools/bamboo_bench/soak/command.py
+++ b/devtools/bamboo_bench/soak/command.py
@@ -192,6 +192,7 @@
     async def _run(self, seed: int) -> int:
         with tempfile.TemporaryDirectory() as temporary:
             directory = Path(self.option("keep") or temporary)
+            directory.mkdir(parents=True, exist_ok=True)
             soak = SoakTest(directory, seed, SHAPE_BY_NAME[self.option("shape")])
             await soak.run(float(self.option("seconds")))
         self.line(
