--- a/devtools/bamboo_bench/soak/callers.py
+++ b/devtools/bamboo_bench/soak/callers.py
@@ -1,6 +1,7 @@
 """The request kinds, the route configuration and the callers of a soak test.
 
-A caller keeps its connections open until a node closes them.
+A caller keeps its connections open until a node closes them, and waits for an answer beyond its
+deadline.
 """
 
 import asyncio
@@ -10,13 +11,14 @@
 
 import aiohttp
 
-from bamboo_bench.soak.invariants import InvariantChecker, Request
+from bamboo_bench.soak.exchange import create_session, send
+from bamboo_bench.soak.invariants import EndKind, InvariantChecker, Request
 from bamboo_bench.soak.machines import Machine
 from bamboo_bench.soak.shapes import Shape
 from bamboo_bench.soak.upstreams import HOST, answer_body, request_headers
 
 THINK_SECONDS = 0.03
-BAD_GATEWAY_STATUS = 502
+ATTEMPTS = 2
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,7 +54,7 @@
             "goal_ms": 300,
             "priority": rank,
             "service": kind.service,
-            "attempts": 2,
+            "attempts": ATTEMPTS,
         }
         for rank, kind in enumerate(KINDS)
     ]
@@ -74,7 +76,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Send requests until ``stop`` is set."""
-        async with aiohttp.ClientSession() as session:
+        async with create_session() as session:
             while not stop.is_set():
                 machine = self._random.choice(self._machines)
                 kind = self._random.choice(KINDS)
@@ -93,32 +95,26 @@
         seconds = self._shape.deadline_seconds
         sent_at = self._clock()
         request = Request(
-            kind.service, kind.is_at_most_once, path, sent_at + seconds, machine.is_undisturbed
+            kind.service,
+            kind.is_at_most_once,
+            path,
+            sent_at + seconds,
+            machine.name,
+            sent_at,
+            timeout_at=sent_at + seconds,
+            attempts=ATTEMPTS,
         )
         self._checker.record_request(request_id, request)
         self._checker.record_sent(kind.service, sent_at)
         url = f"http://{machine.caller_address}{path}"
         headers = request_headers(request_id, seconds)
-        try:
-            async with asyncio.timeout(seconds):
-                async with session.request(kind.method, url, headers=headers) as answer:
-                    body = await answer.read()
-        except (aiohttp.ClientError, TimeoutError) as error:
-            self.count_by_outcome[type(error).__name__] += 1
-            if not isinstance(error, TimeoutError):
-                self._check_end(request_id, type(error).__name__, sent_at, machine)
+        exchange = await send(session, kind.method, url, headers, seconds, self._clock)
+        ending = exchange.ending
+        self._checker.record_ending(request_id, ending)
+        if ending.kind is not EndKind.WHOLE:
+            self.count_by_outcome[ending.kind] += 1
             return False
-        if answer.status == BAD_GATEWAY_STATUS:
-            self._check_end(request_id, str(answer.status), sent_at, machine)
-        has_stamp = "Bamboojunction-Server-Stamp" in answer.headers
-        expected = answer_body(request_id, path) if has_stamp else None
-        self._checker.check_answer(request_id, answer.status, body, expected)
-        self.count_by_outcome[str(answer.status)] += 1
-        return answer.status == 200
-
-    def _check_end(self, request_id: str, outcome: str, sent_at: float, machine: Machine) -> None:
-        """Check a request without an answer of an upstream, where all faults are planned work."""
-        if self._shape.is_planned_work:
-            self._checker.check_cut(
-                request_id, outcome, sent_at, self._clock(), machine.stop_began_at
-            )
+        expected = answer_body(request_id, path) if ending.has_stamp else None
+        self._checker.check_answer(request_id, ending.status, exchange.body, expected)
+        self.count_by_outcome[str(ending.status)] += 1
+        return ending.status == 200
--- a/devtools/bamboo_bench/soak/command.py
+++ b/devtools/bamboo_bench/soak/command.py
@@ -8,14 +8,15 @@
 from collections import Counter
 from pathlib import Path
 
-import aiohttp
 from aiohttp import web
 from cleo.commands.command import Command
 from cleo.helpers import option
 
 from bamboo_bench.soak.callers import KINDS, Caller, configuration
+from bamboo_bench.soak.exchange import create_session
 from bamboo_bench.soak.faults import FaultInjector
 from bamboo_bench.soak.invariants import InvariantChecker
+from bamboo_bench.soak.invariants.timeline import STORE, Change, Disturbance
 from bamboo_bench.soak.machines import Machine
 from bamboo_bench.soak.shapes import MIXED, SHAPE_BY_NAME, Shape
 from bamboo_bench.soak.upstreams import CRASHING_SUFFIX, Upstream
@@ -27,21 +28,24 @@
 STARTUP_TIMEOUT_SECONDS = 20.0
 RECOVERY_TIMEOUT_SECONDS = 15.0
 POLL_SECONDS = 0.2
-MEMORY_CHECK_SECONDS = 0.1
+OBSERVATION_SECONDS = 0.1
 
 
 class SoakTest:
     """A soak test of machines under load and seeded faults."""
 
-    def __init__(self, directory: Path, seed: int, shape: Shape = MIXED):
+    def __init__(
+        self, directory: Path, seed: int, shape: Shape = MIXED, checkout: Path | None = None
+    ):
         self._directory = directory
         self._shape = shape
+        self._checkout = checkout
         self._seed = seed
         self._platform = PlatformStandIn()
         self._configuration_versions = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._configuration_writes: set[asyncio.Task] = set()
-        self.checker = InvariantChecker()
+        self.checker = InvariantChecker(shape.is_planned_work)
         self.machines: list[Machine] = []
         self.outcomes: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
@@ -57,7 +61,7 @@
             await self._run_load(seconds)
             await self._clear_faults()
             await self._wait_until_served("recover", RECOVERY_TIMEOUT_SECONDS)
-            self.checker.finish()
+            self.checker.finish(self._loop.time())
         finally:
             await asyncio.gather(*(machine.close() for machine in self.machines))
             await runner.cleanup()
@@ -66,11 +70,11 @@
         await self._write_configuration()
         for number, service in enumerate(SERVICES):
             host = f"127.30.{self._seed % 250}.{number + 1}"
-            upstream = Upstream(service, host, self.checker, self._shape, self._loop.time)
             name = f"{service}-{number}"
+            upstream = Upstream(service, host, name, self.checker, self._shape, self._loop.time)
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             self.machines.append(
-                Machine(name, upstream, data_centre, self._directory, self.checker)
+                Machine(name, upstream, data_centre, self._directory, self.checker, self._checkout)
             )
         await asyncio.gather(*(machine.start(store_address) for machine in self.machines))
 
@@ -80,7 +84,7 @@
         tasks = [asyncio.create_task(caller.run(stop)) for caller in callers]
         # One caller for all of them, as its seed gives the ids of its requests.
         self._crashing_caller = self._create_caller(self._shape.caller_count + 1)
-        memory_task = asyncio.create_task(self._check_memory())
+        observation_task = asyncio.create_task(self._observe())
         injector = FaultInjector(
             self.machines,
             self._platform,
@@ -92,7 +96,7 @@
         await injector.run(seconds)
         stop.set()
         await asyncio.gather(*tasks)
-        memory_task.cancel()
+        observation_task.cancel()
         self.faults = injector.count_by_fault
         for caller in callers:
             self.outcomes += caller.count_by_outcome
@@ -101,16 +105,26 @@
         seed = self._seed * 1000 + number
         return Caller(self.machines, self.checker, self._shape, seed, self._loop.time)
 
-    async def _check_memory(self) -> None:
+    async def _observe(self) -> None:
+        """Observe the memory of the nodes, and the disturbances of their paths and of the store."""
+        disturbance: Disturbance | None = None
         while True:
             for machine in self.machines:
                 machine.check_memory()
-            await asyncio.sleep(MEMORY_CHECK_SECONDS)
+                machine.observe_path()
+            now = self._loop.time()
+            is_store_disturbed = self._platform.faults != StoreFaults()
+            if is_store_disturbed and disturbance is None:
+                disturbance = self.checker.timeline.begin(STORE, now - OBSERVATION_SECONDS)
+            elif not is_store_disturbed and disturbance is not None:
+                disturbance.ended_at = now
+                disturbance = None
+            await asyncio.sleep(OBSERVATION_SECONDS)
 
     async def _send_crashing_request(self, machine: Machine, number: int) -> None:
         """Send a read that crashes each upstream that runs it, the same one for each number."""
         suffix = f"{CRASHING_SUFFIX}/{number}"
-        async with aiohttp.ClientSession() as session:
+        async with create_session() as session:
             await self._crashing_caller.call(session, machine, KINDS[0], suffix)
 
     def _change_configuration(self) -> None:
@@ -119,11 +133,14 @@
         task.add_done_callback(self._configuration_writes.discard)
 
     async def _write_configuration(self) -> None:
+        sent_at = self._loop.time()
         await self._platform.write_unconditionally(
             "config",
             "main",
             configuration(next(self._configuration_versions), self._shape.deadline_seconds),
         )
+        change = Change(sent_at, acknowledged_at=self._loop.time())
+        self.checker.timeline.planned_work.append(change)
 
     async def _clear_faults(self) -> None:
         await self._platform.set_faults(StoreFaults())
@@ -143,7 +160,7 @@
             for kind in KINDS
         }
         deadline = self._loop.time() + seconds
-        async with aiohttp.ClientSession() as session:
+        async with create_session() as session:
             while unserved and self._loop.time() < deadline:
                 are_served = await asyncio.gather(
                     *(caller.call(session, machine, kind) for machine, kind in unserved.values())
@@ -178,6 +195,7 @@
             "Directory in which to keep the settings and logs of the nodes",
             flag=False,
         ),
+        option("checkout", None, "Directory whose code the nodes run", flag=False),
     ]
 
     def handle(self) -> int:
@@ -193,7 +211,13 @@
         with tempfile.TemporaryDirectory() as temporary:
             directory = Path(self.option("keep") or temporary)
             directory.mkdir(parents=True, exist_ok=True)
-            soak = SoakTest(directory, seed, SHAPE_BY_NAME[self.option("shape")])
+            checkout = self.option("checkout")
+            soak = SoakTest(
+                directory,
+                seed,
+                SHAPE_BY_NAME[self.option("shape")],
+                Path(checkout).resolve() if checkout else None,
+            )
             await soak.run(float(self.option("seconds")))
         self.line(
             f"seed {seed} answers {json.dumps(soak.outcomes)} faults {json.dumps(soak.faults)} "
--- a/devtools/bamboo_bench/soak/machines.py
+++ b/devtools/bamboo_bench/soak/machines.py
@@ -8,8 +8,9 @@
 from pathlib import Path
 
 from bamboo_bench.soak.invariants import InvariantChecker
+from bamboo_bench.soak.invariants.timeline import Disturbance, Reload, Stop
 from bamboo_bench.soak.upstreams import Upstream
-from bamboo_standins.fault_proxy import FaultProxy
+from bamboo_standins.fault_proxy import FaultProxy, ProxyFaults
 from bamboo_standins.process_fleet import free_port
 
 GRACE_SECONDS = 6
@@ -19,8 +20,6 @@
 MEMORY_MB = 300
 NODE_MODULE = "bamboojunction.management.commands.mesh"
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-# A node counts as undisturbed again this long after a pause.
-PAUSE_RECOVERY_SECONDS = 3.0
 
 
 class Machine:
@@ -42,10 +41,12 @@
         self.upstream = upstream
         self.caller_address = ""
         self.is_down = False
-        self.stop_began_at: float | None = None
         self.memory_peak_bytes = 0
         self._checker = checker
-        self._disturbed_until = 0.0
+        self._timeline = checker.timeline
+        self._timeline.add_machine(name, upstream.service)
+        self._path_disturbance: Disturbance | None = None
+        self._observed_at = 0.0
         self._loop = asyncio.get_running_loop()
         self._data_centre = data_centre
         self._directory = directory
@@ -103,6 +104,7 @@
                 env={"BAMBOOJUNCTION_NODE_FILE": str(self.settings_path)},
             )
         self.is_down = False
+        self._checker.lives.record_start(self.name, self._loop.time())
         self._watch_task = asyncio.create_task(self._restart_on_exit(self._process))
 
     async def _restart_on_exit(self, process: asyncio.subprocess.Process) -> None:
@@ -110,30 +112,47 @@
         status = await process.wait()
         if not self.is_down:
             self._checker.record_exit(self.name, status)
+            self._checker.lives.record_end(self.name, self._loop.time())
             await self.start_node()
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the node's process unless it has exited."""
-        if self._process.returncode is None:
-            self._process.send_signal(signal_number)
+        if self._process.returncode is not None:
+            return
+        if signal_number is signal.SIGHUP:
+            self._timeline.planned_work.append(Reload(self.name, self._loop.time()))
+        self._process.send_signal(signal_number)
 
     async def pause_node(self, seconds: float) -> None:
         """Suspend the node's process for a time in seconds, like a machine that stalls."""
-        self._disturbed_until = float("inf")
+        disturbance = self._timeline.begin(self.name, self._loop.time())
         self.send_signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         self.send_signal(signal.SIGCONT)
-        self._disturbed_until = self._loop.time() + PAUSE_RECOVERY_SECONDS
-
-    def is_undisturbed(self) -> bool:
-        """Return whether the node has not been paused recently."""
-        return self._loop.time() >= self._disturbed_until
+        disturbance.ended_at = self._loop.time()
+
+    def observe_path(self) -> None:
+        """Record whether the paths to the upstream and to the store are disturbed.
+
+        A disturbance is recorded from the previous observation on.
+        """
+        now = self._loop.time()
+        is_disturbed = any(
+            proxy.faults != ProxyFaults() for proxy in (self.to_upstream, self.to_store)
+        )
+        if is_disturbed and self._path_disturbance is None:
+            self._path_disturbance = self._timeline.begin(self.name, self._observed_at)
+        elif not is_disturbed and self._path_disturbance is not None:
+            self._path_disturbance.ended_at = now
+            self._path_disturbance = None
+        self._observed_at = now
 
     async def terminate_node(self, signal_number: signal.Signals) -> None:
         """Terminate the node's process with a signal; kill it if it does not exit in time."""
         self.is_down = True
+        self._checker.lives.record_end(self.name, self._loop.time())
         if signal_number is signal.SIGTERM:
-            self.stop_began_at = self._loop.time()
+            self._timeline.planned_work.append(Stop(self.name, self._loop.time()))
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal_number)
         try:
@@ -142,7 +161,6 @@
         except TimeoutError:
             self.send_signal(signal.SIGKILL)
             await self._process.wait()
-        self.stop_began_at = None
 
     def check_memory(self) -> None:
         """Check the resident memory of the node's process against its limit."""
@@ -159,9 +177,12 @@
         """Terminate the node's process and start it again."""
         if self.is_down:
             return
+        is_planned = signal_number is signal.SIGTERM
+        disturbance = self._timeline.begin(self.name, self._loop.time(), is_planned)
         await self.terminate_node(signal_number)
         await asyncio.sleep(RESTART_DELAY_SECONDS)
         await self.start_node()
+        disturbance.ended_at = self._loop.time()
 
     async def close(self) -> None:
         """Kill the node and close the upstream and the proxies."""
--- a/devtools/bamboo_bench/soak/upstreams.py
+++ b/devtools/bamboo_bench/soak/upstreams.py
@@ -10,13 +10,15 @@
 import aiohttp
 from aiohttp import web
 
-from bamboo_bench.soak.invariants import InvariantChecker, Request
+from bamboo_bench.soak.exchange import create_session, send
+from bamboo_bench.soak.invariants import EndKind, InvariantChecker, Request, Run, RunEnd
 from bamboo_bench.soak.shapes import Shape
 from bamboo_standins.process_fleet import free_port
 
 # The virtual host of every request.
 HOST = "soak.example"
 HEARTBEAT_SECONDS = 0.4
+REPORT_TIMEOUT = aiohttp.ClientTimeout(total=3.0)
 SLOTS = 8
 CHILD_SUFFIX = "/inner"
 CRASHING_SUFFIX = "/crashing"
@@ -42,6 +44,7 @@
         self,
         service: str,
         host: str,
+        machine: str,
         checker: InvariantChecker,
         shape: Shape,
         clock: Callable[[], float],
@@ -51,6 +54,8 @@
         self.sends_endless_bodies = False
         self.service = service
         self.host = host
+        self._machine = machine
+        self._current_runs: set[Run] = set()
         self.report_address = ""
         self.caller_address = ""
         self.drained_at: float | None = None
@@ -68,7 +73,7 @@
 
     async def start(self) -> str:
         """Listen on a free port and return the address."""
-        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=3.0))
+        self.session = create_session()
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._handle)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
@@ -91,7 +96,7 @@
 
     async def crash(self, seconds: float) -> None:
         """Stay down for a time in seconds, then come back as a new incarnation."""
-        self._is_up = False
+        self._break_down()
         await asyncio.sleep(seconds)
         self._begin_incarnation()
         self._is_up = True
@@ -109,6 +114,11 @@
         await self._report("DELETE")
         await self.crash(0.5)
 
+    def _break_down(self) -> None:
+        self._is_up = False
+        for run in self._current_runs:
+            run.finish(self._clock(), RunEnd.CRASHED)
+
     def _begin_incarnation(self) -> None:
         self.instance_id = f"i-{self.service}-{self.host}-{next(self._incarnation_numbers)}"
         self._lifecycle_state = "ready"
@@ -137,7 +147,9 @@
             "born": self._started_ms,
         }
         try:
-            async with self.session.request(method, url, json=body) as answer:
+            async with self.session.request(
+                method, url, json=body, timeout=REPORT_TIMEOUT
+            ) as answer:
                 is_accepted = answer.status == 200
         except (aiohttp.ClientError, TimeoutError):
             return
@@ -151,22 +163,49 @@
         if not self._is_up:
             _abort(request)
             return web.Response()
+        self._checker.record_arrival(request_id, self.service, self._clock())
         if request.headers["Bamboojunction-Expect-Instance"] != self.instance_id:
             return web.Response(status=421, headers=headers)
-        remaining = int(request.headers["Bamboojunction-Deadline-Ms"]) / 1000
-        self._checker.check_run(
-            request_id, self.service, request.path, self._clock(), remaining, self.drained_at
+        remaining = _remaining_seconds(request)
+        run = self._checker.check_run(
+            request_id,
+            self.service,
+            request.path,
+            self._clock(),
+            remaining,
+            self.drained_at,
+            self._machine,
+            self.instance_id,
         )
+        self._current_runs.add(run)
+        try:
+            return await self._run(request, request_id, run, remaining, headers)
+        finally:
+            self._current_runs.discard(run)
+
+    async def _run(
+        self,
+        request: web.Request,
+        request_id: str,
+        run: Run,
+        remaining: float | None,
+        headers: dict[str, str],
+    ) -> web.StreamResponse:
         if CRASHING_SUFFIX in request.path:
-            self._checker.record_crash(request.path)
+            self._checker.record_crash(request.path, self._clock())
             self._crash_task = asyncio.create_task(self._end_server(CRASH_SECONDS))
             await asyncio.sleep(CRASH_SECONDS)
-        status = await self._call_dependency(request_id, remaining)
+        status = await self._call_dependency(request_id, run, remaining)
         await asyncio.sleep(self._work_seconds(request.path) + self.slow_seconds)
         if self.sends_endless_bodies:
+            run.finish(self._clock(), RunEnd.BROKEN_OFF)
             await self._send_without_end(request, request_id)
-        if self.loses_answers or not self._is_up:
+        # A crash or a body without end has ended the run already.
+        if run.end is not None or self.loses_answers or not self._is_up:
             _abort(request)
+            if run.end is None:
+                run.finish(self._clock(), RunEnd.BROKEN_OFF)
+            return web.Response()
         body = answer_body(request_id, request.path)
         response = web.Response(status=status, body=body, headers=headers)
         if self.sends_extra_answers:
@@ -175,6 +214,7 @@
                 await response.prepare(request)
                 await response.write_eof()
                 request.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore")
+        run.finish(self._clock(), RunEnd.ANSWERED)
         return response
 
     def _work_seconds(self, path: str) -> float:
@@ -186,7 +226,7 @@
         """Stop listening and break all connections, then come back as a new incarnation."""
         if not self._is_up:
             return
-        self._is_up = False
+        self._break_down()
         await self._site.stop()
         for connection in list(self._runner.server.connections):
             connection.force_close()
@@ -210,23 +250,38 @@
                 transport.write(ENDLESS_PIECE)
             await asyncio.sleep(0.001)
 
-    async def _call_dependency(self, parent: str, remaining: float) -> int:
+    async def _call_dependency(self, parent: str, run: Run, remaining: float | None) -> int:
         """Call the service that this one depends on, and return the status to answer with."""
         service = CALLEE_BY_SERVICE.get(self.service)
         if service is None:
             return 200
+        seconds = self._shape.deadline_seconds if remaining is None else remaining
         request_id = f"{parent}.{next(self._child_numbers)}"
         path = f"/{service}{CHILD_SUFFIX}"
-        deadline = self._clock() + remaining
-        self._checker.record_request(request_id, Request(service, False, path, deadline))
-        headers = request_headers(request_id, remaining)
+        now = self._clock()
+        call = Request(
+            service,
+            False,
+            path,
+            now + seconds,
+            self._machine,
+            now,
+            timeout_at=now + self._shape.deadline_seconds,
+            parent=run,
+        )
+        self._checker.record_request(request_id, call)
+        headers = request_headers(request_id, seconds)
         url = f"http://{self.caller_address}{path}"
-        try:
-            async with self.session.get(url, headers=headers) as answer:
-                await answer.read()
-                return 200 if answer.status == 200 else 500
-        except (aiohttp.ClientError, TimeoutError):
-            return 500
+        exchange = await send(self.session, "GET", url, headers, seconds, self._clock)
+        self._checker.record_ending(request_id, exchange.ending)
+        is_served = exchange.ending.kind is EndKind.WHOLE and exchange.ending.status == 200
+        return 200 if is_served else 500
+
+
+def _remaining_seconds(request: web.Request) -> float | None:
+    """Return the time that an upstream is given for a request, None if none is told."""
+    remaining = request.headers.get("Bamboojunction-Deadline-Ms")
+    return None if remaining is None else int(remaining) / 1000
 
 
 def _abort(request: web.Request) -> None:
