Let the machine of a soak test name itself to its upstream

The upstream's name of its machine was one more argument of its constructor, which every rig would have had to pass; the machine now sets it.

--- a/devtools/bamboo_bench/soak/command.py
+++ b/devtools/bamboo_bench/soak/command.py
@@ -71,7 +71,7 @@
         for number, service in enumerate(SERVICES):
             host = f"127.30.{self._seed % 250}.{number + 1}"
             name = f"{service}-{number}"
-            upstream = Upstream(service, host, name, self.checker, self._shape, self._loop.time)
+            upstream = Upstream(service, host, self.checker, self._shape, self._loop.time)
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             self.machines.append(
                 Machine(name, upstream, data_centre, self._directory, self.checker, self._checkout)
--- a/devtools/bamboo_bench/soak/machines.py
+++ b/devtools/bamboo_bench/soak/machines.py
@@ -39,6 +39,7 @@
     ):
         self.name = name
         self.upstream = upstream
+        upstream.machine = name
         self.caller_address = ""
         self.is_down = False
         self.memory_peak_bytes = 0
--- a/devtools/bamboo_bench/soak/upstreams.py
+++ b/devtools/bamboo_bench/soak/upstreams.py
@@ -36,15 +36,14 @@
 class Upstream:
     """An HTTP server that runs the requests of its node, with injected faults.
 
-    It reports to the node on the same machine in heartbeats. ``drained_at`` is when the node
-    acknowledged that the current incarnation drains.
+    It reports to the node on the same machine in heartbeats; ``machine`` is that machine's name.
+    ``drained_at`` is when the node acknowledged that the current incarnation drains.
     """
 
     def __init__(
         self,
         service: str,
         host: str,
-        machine: str,
         checker: InvariantChecker,
         shape: Shape,
         clock: Callable[[], float],
@@ -54,7 +53,7 @@
         self.sends_endless_bodies = False
         self.service = service
         self.host = host
-        self._machine = machine
+        self.machine = ""
         self._current_runs: set[Run] = set()
         self.report_address = ""
         self.caller_address = ""
@@ -174,7 +173,7 @@
             self._clock(),
             remaining,
             self.drained_at,
-            self._machine,
+            self.machine,
             self.instance_id,
         )
         self._current_runs.add(run)
@@ -264,7 +263,7 @@
             False,
             path,
             now + seconds,
-            self._machine,
+            self.machine,
             now,
             timeout_at=now + self._shape.deadline_seconds,
             parent=run,
