--- a/devtools/bamboo_bench/soak/invariants/checker.py
+++ b/devtools/bamboo_bench/soak/invariants/checker.py
@@ -27,6 +27,7 @@
         self._sent_at_by_service: dict[str, list[float]] = {}
         self._repeated_at_by_service: dict[str, list[float]] = {}
         self._crashed_at_by_path: dict[str, list[float]] = {}
+        self._nodes_over_memory: set[str] = set()
 
     def record_sent(self, service: str, now: float) -> None:
         """Record that a caller sends a request for a service."""
@@ -37,8 +38,9 @@
         self._crashed_at_by_path.setdefault(path, []).append(now)
 
     def check_memory(self, node: str, used_bytes: int, limit_bytes: int) -> None:
-        """Check the resident memory of a node's process."""
-        if used_bytes > limit_bytes:
+        """Check the resident memory of a node's process; each node is reported once."""
+        if used_bytes > limit_bytes and node not in self._nodes_over_memory:
+            self._nodes_over_memory.add(node)
             self._record_violation("memory", node, f"{used_bytes} bytes of {limit_bytes}")
 
     def record_request(self, request_id: str, request: Request) -> None:
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -23,7 +23,9 @@
         self.checker.check_memory("n", 100, 100)
         self.assertEqual(self.violated(), [])
         self.checker.check_memory("n", 101, 100)
-        self.assertEqual(self.violated(), ["memory"])
+        self.checker.check_memory("n", 102, 100)
+        self.checker.check_memory("m", 102, 100)
+        self.assertEqual(self.violated(), ["memory", "memory"])
 
     def test_work_that_ran_twice(self):
         self.run_once()
