Paid for the calls of repeated runs at the services called

Callers saw the limit on repeats broken at services below the one that failed: a repeat was paid for at its own service only, while the calls that its run makes count as repeats where they arrive. With three services below, one repeat could cost three arrivals that no budget knew of.

A run's answer now tells how many calls it led to, by service and at any depth. The node that decides on a repeat takes the mean from the budgets of all these services before it sends. If it holds only a part of the cost, it spends that and repeats with the same probability, so that nodes with little traffic still repeat, and as many calls arrive as were spent.

--- a/bamboojunction/core/calls.py
+++ b/bamboojunction/core/calls.py
@@ -1,6 +1,6 @@
 """The call that nodes route, admit and run."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(slots=True)
@@ -16,7 +16,8 @@
     only at the node where the call entered the mesh, and 0 elsewhere. ``root_action`` is the action
     of the first call of the chain, and ``inherited_rank`` the rank that the chain inherits from
     that call. They are empty and None if unknown. ``has_refused_child`` is set at the gate that
-    runs the call once one of its child calls found a service short of room.
+    runs the call once one of its child calls found a service short of room, and ``child_calls``
+    lists there the kind and the service of each child call.
     """
 
     action: str
@@ -38,3 +39,4 @@
     root_action: str = ""
     inherited_rank: int | None = None
     has_refused_child: bool = False
+    child_calls: list[tuple[str, str]] = field(default_factory=list)
--- a/bamboojunction/core/retries/fleet_budget.py
+++ b/bamboojunction/core/retries/fleet_budget.py
@@ -71,6 +71,13 @@
 
     def spend(self, now: float) -> bool:
         """Spend a retry, and return False when none is left."""
+        if not self.available(now):
+            return False
+        self.take(1)
+        return True
+
+    def available(self, now: float) -> int:
+        """Return how many retries may be spent now."""
         ttl = self._retry_limit.window * RETRY_TTL_SHARE
         elapsed = min(ttl, max(0.0, now - self._updated_at))
         self._updated_at = now
@@ -78,10 +85,12 @@
         self._earn(slack * elapsed / self._retry_limit.window, now)
         while self._expiries and self._expiries[0] <= now:
             self._expiries.popleft()
-        if not self._expiries:
-            return False
-        self._expiries.popleft()
-        return True
+        return len(self._expiries)
+
+    def take(self, retries: int) -> None:
+        """Spend retries, at most those that are left."""
+        for _ in range(min(retries, len(self._expiries))):
+            self._expiries.popleft()
 
     def retries_left(self) -> int:
         """Return how many retries were earned and neither spent nor removed as expired."""
--- a/bamboojunction/core/retries/forwarding.py
+++ b/bamboojunction/core/retries/forwarding.py
@@ -11,6 +11,7 @@
 from enum import Enum, auto
 
 from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Ran, Unknown, UnknownReason
+from bamboojunction.core.retries.chain_budget import ChainRetryBudget
 from bamboojunction.core.retries.fleet_budget import FleetRetryBudget
 from bamboojunction.core.table.rows import Effect, Row
 
@@ -63,7 +64,7 @@
     row: Row,
     outcome: Outcome,
     attempts: RequestAttempts,
-    budget: FleetRetryBudget,
+    budget: FleetRetryBudget | ChainRetryBudget,
     deadline: float,
     now: float,
 ) -> Step:
--- a/bamboojunction/links/convert.py
+++ b/bamboojunction/links/convert.py
@@ -109,6 +109,7 @@
         load,
         gate_ms,
         failed_below,
+        tuple((service, round(10 * calls)) for service, calls in reply.calls_below.items()),
     )
 
 
@@ -122,6 +123,8 @@
         _load_from_wire(answer.load),
         answer.service_seconds,
         answer.gate_ms / 1000,
+        # A peer may send any number.
+        {service: max(0, tenths) / 10 for service, tenths in answer.calls_below},
     )
 
 
--- a/bamboojunction/links/messages.py
+++ b/bamboojunction/links/messages.py
@@ -91,6 +91,7 @@
 
     ``gate_ms`` is the time spent at the gate; whole milliseconds keep its encoding short.
     ``failed_below`` is set if the call failed after a child call found a service short of room.
+    ``calls_below`` holds the services that the run led to, each with its number of calls in tenths.
     """
 
     request_id: int
@@ -105,6 +106,7 @@
     load: Load | None
     gate_ms: int = 0
     failed_below: bool = False
+    calls_below: tuple[tuple[str, int], ...] = ()
 
 
 class Cancel(Message, tag=3):
--- a/bamboojunction/platform_node/app.py
+++ b/bamboojunction/platform_node/app.py
@@ -179,6 +179,7 @@
                 if parent.inherited_rank is None
                 else child_call_rank(parent.inherited_rank)
             )
+            parent.child_calls.append((call.kind, call.service))
         started_at = self._loop.time()
         outcome = await self._forwarder.route(call, route.row)
         if not isinstance(outcome, NotRun):
--- a/bamboojunction/platform_node/forwarder.py
+++ b/bamboojunction/platform_node/forwarder.py
@@ -7,11 +7,13 @@
 from bamboojunction.core.calls import Call
 from bamboojunction.core.load_reports import LoadReport
 from bamboojunction.core.membership.view import MembershipView
-from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome
+from bamboojunction.core.outcomes import NotRun, NotRunReason, Outcome, Ran
+from bamboojunction.core.retries.chain_budget import ChainRetryBudget
 from bamboojunction.core.retries.combined_outcome import combined_outcome
 from bamboojunction.core.retries.fleet_budget import FleetRetryBudget, FleetSize, RetryLimit
 from bamboojunction.core.retries.forwarding import (
     REFUSED_BEFORE_UPSTREAM,
+    SERVER_ERROR_STATUS,
     RequestAttempts,
     Step,
     next_step,
@@ -79,6 +81,16 @@
         budget.node_count = self.node_count
         return budget
 
+    def _chain_budget(self, call: Call) -> ChainRetryBudget:
+        calls_by_service = self._local_gate.chain_costs.calls(call.kind)
+        services = {call.service, *calls_by_service}
+        return ChainRetryBudget(
+            call.service,
+            calls_by_service,
+            {service: self.budget(service) for service in services},
+            self._random,
+        )
+
     def retries_left(self) -> int:
         """Return the number of earned and unspent retries, summed over all services."""
         return sum(budget.retries_left() for budget in self._budget_by_service.values())
@@ -89,7 +101,7 @@
         """Send a request to gates until its outcome is final or no further attempt is allowed."""
         progress = AttemptProgress(attempt_tracker, only_untried=True)
         attempts = RequestAttempts()
-        budget = self.budget(call.service)
+        budget = self._chain_budget(call)
         while True:
             started = self._loop.time()
             outcome, instance = await self._attempt(call, row, progress)
@@ -129,6 +141,8 @@
         )
 
     def _record_duration(self, call: Call, instance: str, reply: GateReply, elapsed: float) -> None:
+        if isinstance(reply.outcome, Ran) and reply.outcome.status < SERVER_ERROR_STATUS:
+            self._local_gate.chain_costs.record_run(call.kind, reply.calls_below)
         if instance != self._instance and reply.gate_seconds:
             self._events.prometheus_metrics.record_link_time(
                 call.kind, call.service, elapsed - reply.gate_seconds
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -19,6 +19,7 @@
 )
 from bamboojunction.core.poison.fingerprints import fingerprint_of
 from bamboojunction.core.poison.guard import PoisonGuard
+from bamboojunction.core.retries.chain_costs import ChainCosts
 from bamboojunction.core.retries.forwarding import SERVER_ERROR_STATUS
 from bamboojunction.core.routes import CurrentRoutes
 from bamboojunction.core.table.rows import Effect, Row, default_weight
@@ -120,6 +121,7 @@
         "_local_upstream",
         "_running_by_request_id",
         "_service",
+        "chain_costs",
         "dependencies",
         "stop_window",
     )
@@ -149,6 +151,7 @@
         self._running_by_request_id: dict[str, Call] = {}
         self._events = events
         self.dependencies = ServiceDependencies()
+        self.chain_costs = ChainCosts()
 
     def parent_of(self, request_id: str) -> Call | None:
         """Return the running call that a request is a child of, or None.
@@ -179,7 +182,7 @@
             reply = self._refusal_reply(call, NotRun(NotRunReason.UNREACHABLE))
         seconds = self._loop.time() - started
         self._events.gate_answered(call, reply, seconds)
-        return GateReply(reply.outcome, reply.report, reply.service_seconds, seconds)
+        return replace(reply, gate_seconds=seconds)
 
     async def _serve_or_refuse(self, call: Call) -> GateReply:
         if call.service != self._service or not self._local_upstream.is_known:
@@ -252,6 +255,8 @@
         match reply.outcome:
             case Ran(status=status) if status >= SERVER_ERROR_STATUS and call.has_refused_child:
                 return replace(reply, outcome=replace(reply.outcome, failed_below=True))
+            case Ran(status=status) if status < SERVER_ERROR_STATUS and call.child_calls:
+                return replace(reply, calls_below=self.chain_costs.calls_of_run(call.child_calls))
         return reply
 
     def _shows_crash(self, reply: UpstreamResult) -> bool:
