Refused connections to crashed upstreams in the soak

The fault proxy before an upstream went on to accept connections after the upstream had crashed. To a node that is a lost answer, not a crash, so no request was ever banned in a soak, and other requests ended with 502. The proxy now refuses connections until the upstream is back. A crashing request comes nine times instead of four: four could not reach more than three upstreams later than three seconds after the third crash.

The test of the proxy fails without the change, as the proxy could not refuse.

--- a/devtools/bamboo_bench/soak/faults.py
+++ b/devtools/bamboo_bench/soak/faults.py
@@ -15,7 +15,7 @@
 PAUSE_SECONDS_MAX = 1.5
 STOP_GAP_SECONDS = 2.0
 # A crashing request comes again this often, with this time in between.
-CRASHING_REQUESTS = 4
+CRASHING_REQUESTS = 9
 CRASHING_REQUEST_GAP_SECONDS = 1.5
 PROXY_FAULTS = (
     ProxyFaults(cut=True),
--- a/devtools/bamboo_bench/soak/machines.py
+++ b/devtools/bamboo_bench/soak/machines.py
@@ -59,6 +59,7 @@
         """Start the upstream, the proxies and the node."""
         host = self.upstream.host
         self.to_upstream = FaultProxy(f"{host}:0", await self.upstream.start())
+        self.upstream.proxy = self.to_upstream
         self.to_store = FaultProxy(f"{host}:0", store_address)
         upstream_port = await self.to_upstream.start()
         store_port = await self.to_store.start()
--- a/devtools/bamboo_bench/soak/upstreams.py
+++ b/devtools/bamboo_bench/soak/upstreams.py
@@ -13,6 +13,7 @@
 from bamboo_bench.soak.exchange import create_session, send
 from bamboo_bench.soak.invariants import EndKind, InvariantChecker, Request, Run, RunEnd
 from bamboo_bench.soak.shapes import Shape
+from bamboo_standins.fault_proxy import FaultProxy
 from bamboo_standins.process_fleet import free_port
 
 # The virtual host of every request.
@@ -54,6 +55,7 @@
         self.service = service
         self.host = host
         self.machine = ""
+        self.proxy: FaultProxy | None = None
         self._current_runs: set[Run] = set()
         self.report_address = ""
         self.caller_address = ""
@@ -226,6 +228,7 @@
         if not self._is_up:
             return
         self._break_down()
+        self.proxy.refuse()
         await self._site.stop()
         for connection in list(self._runner.server.connections):
             connection.force_close()
@@ -233,6 +236,7 @@
         self._begin_incarnation()
         self._site = web.TCPSite(self._runner, self.host, self._port)
         await self._site.start()
+        await self.proxy.start()
         self._is_up = True
 
     async def _send_without_end(self, request: web.Request, request_id: str) -> None:
--- a/devtools/bamboo_standins/fault_proxy.py
+++ b/devtools/bamboo_standins/fault_proxy.py
@@ -104,7 +104,13 @@
         """Start listening and return the port."""
         host, _, port = self._listen.rpartition(":")
         self._server = await asyncio.start_server(self._accept, host, int(port), backlog=1024)
-        return self._server.sockets[0].getsockname()[1]
+        port = self._server.sockets[0].getsockname()[1]
+        self._listen = f"{host}:{port}"
+        return port
+
+    def refuse(self) -> None:
+        """Refuse new connections, as a host whose server has ended, until started again."""
+        self._server.close()
 
     def set_faults(self, faults: ProxyFaults, source_prefix: str = "") -> None:
         """Replace the faults; a cut resets open connections at once.
--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -36,6 +36,16 @@
         reader = await self.connect()
         self.assertEqual(await reader.readexactly(5), b"hello")
 
+    # A soak test never saw a request banned, as the proxy accepted connections to crashed upstreams.
+    async def test_connections_are_refused_until_it_is_started_again(self):
+        reader = await self.connect()
+        self.proxy.refuse()
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
+        self.assertEqual(await reader.readexactly(5), b"hello")
+        self.assertEqual(await self.proxy.start(), self.port)
+        self.assertEqual(await (await self.connect()).readexactly(5), b"hello")
+
     async def test_delay_holds_each_direction(self):
         self.proxy.set_faults(ProxyFaults(delay_seconds=0.05))
         loop = asyncio.get_running_loop()
