--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -36,7 +36,7 @@
         reader = await self.connect()
         self.assertEqual(await reader.readexactly(5), b"hello")
 
-    # A soak test never saw a request banned, as the proxy accepted connections to crashed upstreams.
+    # A soak test saw no request banned, as the proxy accepted connections to crashed upstreams.
     async def test_connections_are_refused_until_it_is_started_again(self):
         reader = await self.connect()
         self.proxy.refuse()
