Closed an idle connection for each that a repeated id needs

What callers saw: 502 for a charge of a repeated parent call, where an upstream at its bound of connections resets the one that was opened beside idle ones.

Evidence: the test printed (2, 2) connections opened and idle, and prints (2, 1) now.

--- a/bamboojunction/upstreams/pool.py
+++ b/bamboojunction/upstreams/pool.py
@@ -66,8 +66,11 @@
         that is not idempotent reuses a connection only shortly after its last response, and one
         without ``may_reuse`` gets a new connection.
         """
-        connection = self._take_idle(is_idempotent) if may_reuse else None
-        if connection is not None:
+        connection = self._take_idle(is_idempotent)
+        if connection is not None and not may_reuse:
+            # The upstream bounds the number of connections.
+            connection.abort()
+        elif connection is not None:
             result = await self._exchange_on(connection, request, match_response, deadline)
             if result is not ExchangeFailure.NOT_SENT:
                 return result
--- a/tests/platform_node/test_upstream_connection.py
+++ b/tests/platform_node/test_upstream_connection.py
@@ -176,6 +176,14 @@
                 result = await at_end[0]
         self.assertEqual(getattr(result, "status", result), 200)
 
+    async def test_request_that_may_not_reuse_a_connection_takes_the_place_of_one(self):
+        """A repeated id opened a connection beside idle ones, which a full upstream resets."""
+        upstream = ScriptedUpstream(COMPLETE_RESPONSE)
+        pool = await self.start_pool(upstream)
+        for may_reuse in (True, False):
+            await pool.exchange(REQUEST, is_idempotent=False, may_reuse=may_reuse)
+        self.assertEqual((pool.opened_count, len(pool._idle)), (2, 1))
+
     async def test_lost_response_of_a_non_idempotent_request_is_never_sent_again(self):
         upstream = ScriptedUpstream(b"", at_end="close")
         pool = await self.start_pool(upstream)
