Remembered each step in which a fleet shrinks

Only the first decrease was remembered for a minute, so that the slack of the retry limit grew at once by all later ones while those nodes may still spend. Found by review.

Evidence: 13, 12, 10 and 5 nodes within a minute counted as 5 after it; now as 12, and later as 10.

--- a/bamboojunction/core/retries/fleet_budget.py
+++ b/bamboojunction/core/retries/fleet_budget.py
@@ -28,24 +28,24 @@
 class FleetSize:
     """The number of nodes that share the fleet's limit, the largest one of the recent past."""
 
-    __slots__ = ("_largest", "_largest_until", "_latest")
+    __slots__ = ("_earlier", "_latest")
 
     def __init__(self):
-        self._latest = self._largest = 1
-        self._largest_until = 0.0
+        self._latest = 1
+        # The numbers before each decrease, with the time until which they count.
+        self._earlier: deque[tuple[float, int]] = deque()
 
     def record(self, count: int, now: float) -> None:
         """Record how many nodes are seen from now on."""
-        if self._latest == self._largest:
-            self._largest_until = now + SIZE_MEMORY_SECONDS
+        if count < self._latest:
+            self._earlier.append((now + SIZE_MEMORY_SECONDS, self._latest))
         self._latest = count
-        self._largest = max(self._largest, count)
 
     def count(self, now: float) -> int:
         """Return the number of nodes to divide the slack by."""
-        if now >= self._largest_until:
-            self._largest = self._latest
-        return self._largest
+        while self._earlier and self._earlier[0][0] <= now:
+            self._earlier.popleft()
+        return max(self._latest, *(count for _, count in self._earlier), 0)
 
 
 class FleetRetryBudget:
--- a/tests/retries/test_fleet_size.py
+++ b/tests/retries/test_fleet_size.py
@@ -40,6 +40,14 @@
         size.record(5, 100.0)
         size.record(4, 110.0)
         self.assertEqual(size.count(100.0 + SIZE_MEMORY_SECONDS - 1.0), 13)
-        self.assertEqual(size.count(100.0 + SIZE_MEMORY_SECONDS), 4)
+        self.assertEqual(size.count(110.0 + SIZE_MEMORY_SECONDS), 4)
         size.record(20, 200.0)
         self.assertEqual(size.count(200.0), 20)
+
+    def test_fleet_that_shrinks_by_steps_counts_each_step_for_a_while(self):
+        """Only the first step was remembered, so that the slack grew at once by all others."""
+        size = FleetSize()
+        for count, now in ((13, 0.0), (12, 100.0), (10, 140.0), (5, 158.0)):
+            size.record(count, now)
+        self.assertEqual(size.count(100.5 + SIZE_MEMORY_SECONDS), 12)
+        self.assertEqual(size.count(140.5 + SIZE_MEMORY_SECONDS), 10)
