Recorded that incarnations drain that are not current

A report that an incarnation drains was acknowledged and forgotten if its id was not the current one, so that a late report of it could bring it into use again. Found by review.

Evidence: after a misdirected call a late report of it started it (True is not false); now it does not.

--- a/bamboojunction/platform_node/local_upstream.py
+++ b/bamboojunction/platform_node/local_upstream.py
@@ -142,12 +142,11 @@
 
     def _apply_uncertain(self, heartbeat: Heartbeat, is_current: bool) -> UpstreamChange:
         """Apply a report that may be of an ended incarnation, or of one that is not known yet."""
-        is_current_id = heartbeat.instance_id == self.instance_id
-        if is_current or not is_current_id or not heartbeat.is_draining:
-            return UpstreamChange.NONE
-        if self._has_left(heartbeat) or not self.is_serving:
+        if is_current or not heartbeat.is_draining or self._has_left(heartbeat):
             return UpstreamChange.NONE
         self._record_draining(heartbeat)
+        if heartbeat.instance_id != self.instance_id or not self.is_serving:
+            return UpstreamChange.NONE
         self.is_serving = False
         return UpstreamChange.DRAINING
 
--- a/tests/platform_node/test_local_upstream.py
+++ b/tests/platform_node/test_local_upstream.py
@@ -56,6 +56,14 @@
         self.assertIs(self.local_upstream.apply(early), UpstreamChange.DRAINING)
         self.assertFalse(self.local_upstream.is_serving)
 
+    def test_draining_of_an_incarnation_that_is_not_current_binds(self):
+        """An upstream that had reported that it drains served after a misdirected call."""
+        self.local_upstream.apply(heartbeat("i-1", started_at=200))
+        self.local_upstream.apply(heartbeat("i-2", started_at=198, sequence=3, draining=True))
+        self.local_upstream.handle_misdirected_call()
+        self.local_upstream.apply(heartbeat("i-2", started_at=198, sequence=2))
+        self.assertFalse(self.local_upstream.is_serving)
+
     def test_upstream_that_reports_alone_is_current_whatever_its_start(self):
         self.local_upstream.apply(heartbeat("i-2", started_at=200, sequence=9))
         changes = [
