Estimated the end of calls by where their refusal leads

What callers would see, by review: during a stop, 503 for each request of a rarer kind from the clients of the stopping node, which have no other node; a read with one attempt cut off at the gate of a peer; and charges killed at a node that was paused as its stop signal came.

Cause: the twenty calls that an estimate needs were asked for at the node's own clients as well, where a refusal is the failure. At the gate, calls without a repeat were taken by the estimate. And the stop was counted from the end of a pause.

Change: twenty calls are asked for at the gate only; calls without a repeat need their deadline there; the age of a message after a pause counts as part of the stop.

Evidence: the tests printed 503 != 200, 200 != 503 and 3.19 not less than 2.3 before.

--- a/bamboojunction/core/graceful_shutdown.py
+++ b/bamboojunction/core/graceful_shutdown.py
@@ -143,12 +143,12 @@
         samples.count += 1
         samples.longest = max(samples.longest, seconds)
 
-    def longest(self, kind: str, now: float) -> float | None:
+    def longest(self, kind: str, now: float, samples_min: int = 1) -> float | None:
         """Return the longest duration in seconds, or None if too few recent calls are known."""
         self._start_period(now)
         periods = (self._current_by_kind.get(kind), self._previous_by_kind.get(kind))
         samples = [each for each in periods if each is not None]
-        if sum(each.count for each in samples) < DURATION_SAMPLES_MIN:
+        if sum(each.count for each in samples) < samples_min:
             return None
         return max(each.longest for each in samples)
 
--- a/bamboojunction/platform_node/app.py
+++ b/bamboojunction/platform_node/app.py
@@ -190,7 +190,11 @@
         return requests.outcome_response(outcome, headers.request_id)
 
     def _can_finish(self, call: Call) -> bool:
-        """Return whether a call is expected to end before this node closes, if it is stopping."""
+        """Return whether a call is expected to end before this node closes, if it is stopping.
+
+        Its caller cannot go to another node at once, so that one call of the kind is enough for an
+        estimate: a refusal fails the caller for certain.
+        """
         now = self._loop.time()
         return self.stop_window is None or self.stop_window.has_room(
             call.deadline, self._durations.longest(call.kind, now), now
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -7,7 +7,11 @@
 from bamboojunction.core.admission.dependencies import ServiceDependencies, child_call_rank
 from bamboojunction.core.admission.gate import AdmissionController, CompletionStatus, Ticket
 from bamboojunction.core.calls import Call
-from bamboojunction.core.graceful_shutdown import CallDurations, StopWindow
+from bamboojunction.core.graceful_shutdown import (
+    DURATION_SAMPLES_MIN,
+    CallDurations,
+    StopWindow,
+)
 from bamboojunction.core.load_reports import LoadReport
 from bamboojunction.core.outcomes import (
     NotRun,
@@ -223,13 +227,15 @@
     def _is_safe_to_start(self, call: Call, stop_window: StopWindow) -> bool:
         """Return whether a call is not lost when this node closes.
 
-        An idempotent call that is cut off is repeated at another gate, so an estimate of its end is
-        enough. Any other call is lost, while another gate can serve it if it is refused here.
+        A call that may be repeated is sent to another gate if it is cut off, so an estimate of its
+        end is enough. Any other call is lost, while another gate can serve it if it is refused.
         """
-        if self._current_table.row(call.kind).effect is not Effect.IDEMPOTENT:
+        row = self._current_table.row(call.kind)
+        if row.effect is not Effect.IDEMPOTENT or not row.retries:
             return stop_window.ends_within(call.deadline)
         now = self._loop.time()
-        return stop_window.has_room(call.deadline, self._durations.longest(call.kind, now), now)
+        longest = self._durations.longest(call.kind, now, DURATION_SAMPLES_MIN)
+        return stop_window.has_room(call.deadline, longest, now)
 
     def _chain_refusal(self, call: Call) -> NotRun | None:
         """Refuse a call at the top of its chain if a service below would shed the chain.
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -220,9 +220,11 @@
 
         Readiness ends first, and calls that would be cut off at the end are refused from then on.
         Then the gate and the caller listener refuse all new calls, running requests finish, and
-        finally all connections are closed.
+        finally all connections are closed. The time that the signal may have waited, while this
+        process was paused, counts as part of the stop.
         """
-        started_at = self._loop.time()
+        now = self._loop.time()
+        started_at = now - self._pause_detector.max_message_age(now)
         drain_deadline = started_at + self.settings.stop_seconds - CLOSE_RESERVE_SECONDS
         self.events.stopping(in_flight=self.app.in_flight)
         self.app.is_stopping = True
