Refused a first link port that is none in one line

What callers would have seen: with a first port of thousands of digits the start ended with a traceback. The long run of the property test (BAMBOO_FUZZ=long) found it; the short run had not.

The test printed before the fix: ValueError: Exceeds the limit (4300 digits) for integer string conversion; use sys.set_int_max_str_digits() to increase the limit and for -1: Called `Result.unwrap_err()` on an `Ok` value (the check of addresses refused it later).

The reader now takes a port only between 1 and the last one.

--- a/bamboojunction/platform/node_settings.py
+++ b/bamboojunction/platform/node_settings.py
@@ -103,7 +103,7 @@
 
 
 def _read_settings(reader: FieldReader) -> PlatformNodeSettings:
-    first_port = reader.required_port("network.port_range", 0)
+    first_port = reader.required_port("network.port_range", 0, PORT_MAX)
     data_centre = reader.text("data_centre", "self.zone", DATA_CENTRE)
     memory_mb = reader.number("memory_bytes", "self.limits.memory_mb", MEMORY_MB, MEMORY_MB_BOUNDS)
     return PlatformNodeSettings(
--- a/bamboojunction/platform/settings_fields.py
+++ b/bamboojunction/platform/settings_fields.py
@@ -59,10 +59,10 @@
         self.problems.append(f"{path} is {describe(value)} and has to be a text")
         return ""
 
-    def required_port(self, path: str, position: int) -> int:
-        """Return a number of a list, or 0 with a problem."""
+    def required_port(self, path: str, position: int, port_max: int) -> int:
+        """Return a port in a list, or 0 with a problem."""
         value = item(self.find(path), position)
-        if isinstance(value, int) and not isinstance(value, bool):
+        if isinstance(value, int) and _is_between(value, (1, port_max)):
             return value
         self.problems.append(f"{path}.{position} is {describe(value)} and has to be a port")
         return 0
--- a/tests/adapter/test_odd_settings.py
+++ b/tests/adapter/test_odd_settings.py
@@ -13,6 +13,7 @@
 from bamboojunction.checks.machine import check_machine
 from bamboojunction.checks.messages import has_errors
 from bamboojunction.platform.node_settings import parse_node_settings
+from bamboojunction.platform.settings_fields import describe
 from tests.adapter.test_node_settings import SETTINGS_FILE
 
 ABSENT = "(absent)"
@@ -106,8 +107,8 @@
 
     def test_field_that_is_needed_gives_one_line_that_names_it(self):
         for path in REQUIRED:
-            for value in (ABSENT, None, "", [], {}, "\u200b"):
-                with self.subTest(path=path, value=value):
+            for value in (ABSENT, None, "", [], {}, "\u200b", -1, 1 << 20_000, math.nan):
+                with self.subTest(path=path, value=describe(value)):
                     problem = parse_node_settings(with_fields({path: value})).unwrap_err()
                     self.assertIn(path, problem)
                     self.assertEqual(len(problem.splitlines()), 1)
