Earned no repeats for calls of runs that were cut

Calls of a run whose caller had gone, or whose deadline had passed, were taken for requests of clients where the upstream went on with the run: its id was forgotten with the answer. They earned repeats, which only requests of clients do, so that the fleet could exceed its limit while chains outlasted their callers.

The gate remembers the ids of the last 4,096 runs that were cut, and requests below them earn nothing. How they are served has not changed.

--- a/bamboojunction/platform_node/app.py
+++ b/bamboojunction/platform_node/app.py
@@ -171,7 +171,8 @@
             return requests.outcome_response(refusal, headers.request_id)
         if parent is None:
             call.root_action, call.inherited_rank = call.action, route.row.rank
-            self._forwarder.budget(call.service).record_request(self._loop.time())
+            if not self._gate.is_call_of_cut_run(call.action):
+                self._forwarder.budget(call.service).record_request(self._loop.time())
         else:
             call.root_action, call.depth = parent.root_action, parent.depth + 1
             call.inherited_rank = (
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -21,6 +21,7 @@
 from bamboojunction.core.poison.guard import PoisonGuard
 from bamboojunction.core.retries.chain_costs import ChainCosts
 from bamboojunction.core.retries.forwarding import SERVER_ERROR_STATUS
+from bamboojunction.core.retries.recent_ids import RecentIds
 from bamboojunction.core.routes import CurrentRoutes
 from bamboojunction.core.table.rows import Effect, Row, default_weight
 from bamboojunction.links.replies import GateReply
@@ -36,6 +37,8 @@
 # Used until the first heartbeat of the upstream reports the real number.
 INITIAL_SLOTS = 1
 UNREACHABLE_RETRY_AFTER_SECONDS = 0.1
+# Ids of runs whose answers were no longer awaited.
+CUT_RUNS_MAX = 4_096
 
 
 class UpstreamSender:
@@ -115,6 +118,7 @@
     """A gate whose number of slots and state follow the heartbeats of the local upstream."""
 
     __slots__ = (
+        "_cut_runs",
         "_durations",
         "_events",
         "_is_stopping",
@@ -149,6 +153,7 @@
         self.stop_window: StopWindow | None = None
         self._durations = CallDurations(self._loop.time())
         self._running_by_request_id: dict[str, Call] = {}
+        self._cut_runs = RecentIds(CUT_RUNS_MAX)
         self._events = events
         self.dependencies = ServiceDependencies()
         self.chain_costs = ChainCosts()
@@ -160,6 +165,13 @@
         """
         return self._running_by_request_id.get(request_id.rpartition(".")[0])
 
+    def is_call_of_cut_run(self, request_id: str) -> bool:
+        """Return whether a request is a child of a run whose answer was no longer awaited.
+
+        The upstream may go on with such a run.
+        """
+        return request_id.rpartition(".")[0] in self._cut_runs
+
     def stop(self) -> None:
         """Refuse all new calls from now on, whatever the upstream reports."""
         self._is_stopping = True
@@ -245,10 +257,13 @@
     async def _run(self, ticket: Ticket, call: Call, fingerprint: int) -> GateReply:
         self._running_by_request_id[call.action] = call
         started_at = self._loop.time()
+        reply = None
         try:
             reply = await super()._run(ticket, call, fingerprint)
         finally:
             self._running_by_request_id.pop(call.action, None)
+            if reply is None or isinstance(reply.outcome, Unknown):
+                self._cut_runs.add(call.action)
         if not isinstance(reply.outcome, NotRun):
             now = self._loop.time()
             self._durations.record(call.kind, now - started_at, now)
