--- a/bamboojunction/core/retries/fleet_budget.py
+++ b/bamboojunction/core/retries/fleet_budget.py
@@ -4,8 +4,8 @@
 from collections import deque
 from dataclasses import dataclass
 
-# The shares of the fleet's limit that nodes spend. The rest covers what a node cannot observe: the
-# calls that a retried request makes, and retries that were earned before the window.
+# The shares of the fleet's limit that nodes spend. The rest covers what a node cannot observe: runs
+# that make more calls than the mean of their kind, and retries that were earned before the window.
 RATIO_USED_SHARE = 0.6
 SLACK_USED_SHARE = 0.4
 # Unspent retries expire after this share of the window.
