Let the fault proxy refuse connections like a server that ended

The proxy in front of an upstream of the soak took connections while the upstream was down and reset them afterwards. The proxy can now stop to listen and start again on the same port; a test shows it.

--- a/devtools/bamboo_standins/fault_proxy.py
+++ b/devtools/bamboo_standins/fault_proxy.py
@@ -101,10 +101,17 @@
         return self._source_faults_by_prefix[""].faults
 
     async def start(self) -> int:
-        """Start listening and return the port."""
+        """Start listening, on the same port as before if there was one, and return the port."""
         host, _, port = self._listen.rpartition(":")
         self._server = await asyncio.start_server(self._accept, host, int(port), backlog=1024)
-        return self._server.sockets[0].getsockname()[1]
+        self._listen = f"{host}:{(port := self._server.sockets[0].getsockname()[1])}"
+        return port
+
+    def refuse_connections(self) -> None:
+        """Stop listening and reset every connection, as if the server had ended."""
+        self._server.close()
+        for connection in list(self._connections):
+            connection.reset()
 
     def set_faults(self, faults: ProxyFaults, source_prefix: str = "") -> None:
         """Replace the faults; a cut resets open connections at once.
@@ -121,8 +128,7 @@
         """Clear the faults of all sources."""
         for source_faults in self._source_faults_by_prefix.values():
             source_faults.set_faults(ProxyFaults())
-        prefixes = [prefix for prefix in self._source_faults_by_prefix if prefix]
-        for prefix in prefixes:
+        for prefix in [prefix for prefix in self._source_faults_by_prefix if prefix]:
             del self._source_faults_by_prefix[prefix]
 
     def _faults_for(self, source: str) -> _SourceFaults:
@@ -134,10 +140,8 @@
 
     async def stop(self) -> None:
         """Stop listening and reset every connection."""
-        self._server.close()
+        self.refuse_connections()
         self.clear_faults()
-        for connection in list(self._connections):
-            connection.reset()
         # A task whose queue is full may wait forever for a sender that ended with its connection.
         for task in self._tasks:
             task.cancel()
--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -53,6 +53,19 @@
         with self.assertRaises((ConnectionResetError, asyncio.IncompleteReadError)):
             await (await self.connect()).readexactly(1)
 
+    async def test_proxy_of_an_ended_server_refuses_connections_until_it_starts_again(self):
+        # The proxy took connections while the server was down, so that no node saw the crash.
+        reader = await self.connect()
+        await reader.readexactly(5)
+        self.proxy.refuse_connections()
+        with self.assertRaises(ConnectionResetError):
+            await reader.readexactly(1)
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
+        self.assertEqual(await self.proxy.start(), self.port)
+        reader = await self.connect()
+        self.assertEqual(await reader.readexactly(5), b"hello")
+
     async def test_half_open_swallows_one_direction(self):
         self.proxy.set_faults(ProxyFaults(half_open=Direction.TO_CLIENT))
         reader = await self.connect()
