Added meshes of thirteen nodes with calls two deep to the soak

The soak played six nodes of three services with one call and closed-loop callers only. Three shapes now play 13 nodes in three data centres with the kinds, work, deadlines, slots and rates of the users' sites, at a quarter of the size, with requests that arrive at their rates. New faults: kills of some nodes, reloads and configurations in series (which move and split a route), a store that refuses some nodes, upstreams whose address goes to another service, failing requests, bursts, callers that repeat at once or leave early. Nodes start with the platform's whole settings and the deploy file's command and environment, and 4,100 descriptors; one over its memory is killed. The command prints kinds with their latency, repeats and nodes. A crashed upstream refuses connections.

--- a/devtools/bamboo_bench/path/platform_hop.py
+++ b/devtools/bamboo_bench/path/platform_hop.py
@@ -18,17 +18,18 @@
 from aiohttp import web
 
 from bamboo_bench.path.report import quantile
-from bamboo_bench.soak.callers import KINDS, Caller, configuration
+from bamboo_bench.soak.callers import Caller
 from bamboo_bench.soak.invariants import InvariantChecker
 from bamboo_bench.soak.machines import Machine
 from bamboo_bench.soak.shapes import MIXED
+from bamboo_bench.soak.sites import configuration
 from bamboo_bench.soak.upstreams import Upstream
 from bamboo_standins.platform import PlatformStandIn
 
 CALLER, GATE = "caller", "gate"
 # The caller's node stands beside an upstream of another service, so that each call is a whole hop.
 SERVICE_BY_ROLE = {CALLER: "stock", GATE: "menu"}
-KIND = next(kind for kind in KINDS if kind.service == SERVICE_BY_ROLE[GATE])
+KIND = next(kind for kind in MIXED.mesh.kinds if kind.service == SERVICE_BY_ROLE[GATE])
 DATA_CENTRE = "north"
 HOST_BY_ROLE = {CALLER: "127.31.0.1", GATE: "127.31.0.2"}
 WARM_UP_SECONDS = 2.0
@@ -104,7 +105,7 @@
         await self._runner.setup()
         await web.TCPSite(self._runner, "127.0.0.1", 0).start()
         await self._platform.write_unconditionally(
-            "config", "main", configuration(1, MIXED.deadline_seconds)
+            "config", "main", configuration(1, MIXED.mesh, MIXED.deadline_seconds)
         )
         store_address = f"127.0.0.1:{self._runner.addresses[0][1]}"
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
--- a/devtools/bamboo_bench/soak/command.py
+++ b/devtools/bamboo_bench/soak/command.py
@@ -13,17 +13,17 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from bamboo_bench.soak.callers import KINDS, Caller, configuration
+from bamboo_bench.soak.callers import Caller
 from bamboo_bench.soak.faults import FaultInjector
 from bamboo_bench.soak.invariants import InvariantChecker
 from bamboo_bench.soak.machines import Machine
+from bamboo_bench.soak.report import report_lines
 from bamboo_bench.soak.shapes import MIXED, SHAPE_BY_NAME, Shape
+from bamboo_bench.soak.sites import configuration
+from bamboo_bench.soak.traffic import Traffic
 from bamboo_bench.soak.upstreams import CRASHING_SUFFIX, Upstream
 from bamboo_standins.platform import PlatformStandIn, StoreFaults
 
-# The service of each machine.
-SERVICES = ("menu", "pay", "stock", "menu", "pay", "stock")
-DATA_CENTRES = ("lac", "sakiet")
 STARTUP_TIMEOUT_SECONDS = 20.0
 RECOVERY_TIMEOUT_SECONDS = 15.0
 POLL_SECONDS = 0.2
@@ -64,11 +64,12 @@
 
     async def _start_machines(self, store_address: str) -> None:
         await self._write_configuration()
-        for number, service in enumerate(SERVICES):
+        mesh = self._shape.mesh
+        for number, service in enumerate(mesh.services):
             host = f"127.30.{self._seed % 250}.{number + 1}"
             upstream = Upstream(service, host, self.checker, self._shape, self._loop.time)
             name = f"{service}-{number}"
-            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            data_centre = mesh.data_centres[number % len(mesh.data_centres)]
             self.machines.append(
                 Machine(name, upstream, data_centre, self._directory, self.checker)
             )
@@ -77,7 +78,11 @@
     async def _run_load(self, seconds: float) -> None:
         stop = asyncio.Event()
         callers = [self._create_caller(number) for number in range(self._shape.caller_count)]
-        tasks = [asyncio.create_task(caller.run(stop)) for caller in callers]
+        traffic_caller = self._create_caller(self._shape.caller_count + 2)
+        self.traffic = Traffic(
+            self.machines, self._shape.mesh.kinds, traffic_caller, self._seed, self._loop.time
+        )
+        tasks = [asyncio.create_task(each.run(stop)) for each in (*callers, self.traffic)]
         # One caller for all of them, as its seed gives the ids of its requests.
         self._crashing_caller = self._create_caller(self._shape.caller_count + 1)
         memory_task = asyncio.create_task(self._check_memory())
@@ -86,6 +91,7 @@
             self._platform,
             self._change_configuration,
             self._send_crashing_request,
+            self.traffic,
             self._shape,
             self._seed,
         )
@@ -94,7 +100,7 @@
         await asyncio.gather(*tasks)
         memory_task.cancel()
         self.faults = injector.count_by_fault
-        for caller in callers:
+        for caller in (*callers, traffic_caller):
             self.outcomes += caller.count_by_outcome
 
     def _create_caller(self, number: int) -> Caller:
@@ -110,8 +116,9 @@
     async def _send_crashing_request(self, machine: Machine, number: int) -> None:
         """Send a read that crashes each upstream that runs it, the same one for each number."""
         suffix = f"{CRASHING_SUFFIX}/{number}"
+        kind = next(kind for kind in self._shape.mesh.kinds if not kind.is_at_most_once)
         async with aiohttp.ClientSession() as session:
-            await self._crashing_caller.call(session, machine, KINDS[0], suffix)
+            await self._crashing_caller.call(session, machine, kind, suffix)
 
     def _change_configuration(self) -> None:
         task = asyncio.create_task(self._write_configuration())
@@ -122,7 +129,9 @@
         await self._platform.write_unconditionally(
             "config",
             "main",
-            configuration(next(self._configuration_versions), self._shape.deadline_seconds),
+            configuration(
+                next(self._configuration_versions), self._shape.mesh, self._shape.deadline_seconds
+            ),
         )
 
     async def _clear_faults(self) -> None:
@@ -140,7 +149,7 @@
         unserved = {
             (machine.name, kind.path): (machine, kind)
             for machine in self.machines
-            for kind in KINDS
+            for kind in self._shape.mesh.kinds
         }
         deadline = self._loop.time() + seconds
         async with aiohttp.ClientSession() as session:
@@ -167,7 +176,7 @@
         option(
             "seconds", None, "Seconds of load and faults for each seed", flag=False, default="20"
         ),
-        option("shape", None, "Shape: mixed, stops or losses", flag=False, default="mixed"),
+        option("shape", None, f"Shape: {', '.join(SHAPE_BY_NAME)}", flag=False, default="mixed"),
         option("seed", None, "First seed; 0 uses the current time", flag=False, default="0"),
         option(
             "seeds", None, "Number of seeds to run, one after the other", flag=False, default="1"
@@ -192,12 +201,15 @@
     async def _run(self, seed: int) -> int:
         with tempfile.TemporaryDirectory() as temporary:
             directory = Path(self.option("keep") or temporary)
+            directory.mkdir(parents=True, exist_ok=True)
             soak = SoakTest(directory, seed, SHAPE_BY_NAME[self.option("shape")])
             await soak.run(float(self.option("seconds")))
         self.line(
             f"seed {seed} answers {json.dumps(soak.outcomes)} faults {json.dumps(soak.faults)} "
             f"peak {max(each.memory_peak_bytes for each in soak.machines) // 1_000_000} MB"
         )
+        for line in report_lines(soak.traffic, soak.checker, soak.machines):
+            self.line(line)
         for violation in soak.checker.violations:
             self.line(f"seed {seed} BROKEN {violation}")
         return len(soak.checker.violations)
--- a/devtools/bamboo_bench/soak/invariants.py
+++ b/devtools/bamboo_bench/soak/invariants.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_left, bisect_right
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 # Each of these statuses means that the request has not run and never will.
@@ -168,18 +168,29 @@
             if crashes > CRASHES_MAX:
                 self._record_violation("poison", path, f"{crashes} crashes")
 
-    def _check_repeats(self, service: str, times: list[float]) -> None:
-        """Check the repeats in each window that ends with one of them."""
+    def repeat_rows(self) -> list[tuple[str, int, int, int]]:
+        """Return each service with its repeats, the most in a window and those allowed in that."""
+        return [
+            (service, len(times), *max(self._repeats_in_windows(service, times)))
+            for service, times in self._repeated_at_by_service.items()
+        ]
+
+    def _repeats_in_windows(self, service: str, times: list[float]) -> Iterator[tuple[int, int]]:
+        """Yield the repeats in each window that ends with one, and those allowed in it."""
         sent_times = self._sent_at_by_service.get(service, [])
         for end in times:
-            repeats = _count_between(times, end - REPEAT_WINDOW_SECONDS, end)
             requests = max(
                 _count_between(sent_times, end - back - REPEAT_WINDOW_SECONDS, end - back)
                 for back in (0.0, REPEAT_WINDOW_SECONDS / 2, REPEAT_WINDOW_SECONDS)
             )
-            allowed = REPEAT_RATIO * requests + REPEAT_SLACK
+            repeats = _count_between(times, end - REPEAT_WINDOW_SECONDS, end)
+            yield repeats, int(REPEAT_RATIO * requests + REPEAT_SLACK)
+
+    def _check_repeats(self, service: str, times: list[float]) -> None:
+        """Check the repeats in each window that ends with one of them."""
+        for repeats, allowed in self._repeats_in_windows(service, times):
             if repeats > allowed:
-                detail = f"{repeats} repeats for {requests} requests, {allowed:.0f} are allowed"
+                detail = f"{repeats} repeats, {allowed} are allowed"
                 self._record_violation("budget", service, detail)
                 return
 
--- a/devtools/bamboo_bench/soak/machines.py
+++ b/devtools/bamboo_bench/soak/machines.py
@@ -1,23 +1,24 @@
 """The machines of a soak test: a node process each, with an upstream in the test process."""
 
 import asyncio
+import contextlib
 import json
 import os
+import resource
 import signal
-import sys
 from pathlib import Path
 
+from bamboo_bench.soak import node_files
 from bamboo_bench.soak.invariants import InvariantChecker
+from bamboo_bench.soak.node_files import DESCRIPTORS_MAX, GRACE_SECONDS, MEMORY_MB
 from bamboo_bench.soak.upstreams import Upstream
 from bamboo_standins.fault_proxy import FaultProxy
 from bamboo_standins.process_fleet import free_port
 
-GRACE_SECONDS = 6
 STOP_TIMEOUT_SECONDS = GRACE_SECONDS + 2.0
 RESTART_DELAY_SECONDS = 0.2
-# The limit of the settings on the memory of a node's process.
-MEMORY_MB = 300
-NODE_MODULE = "bamboojunction.management.commands.mesh"
+# An address may be used again by another service this long after its upstream has ended.
+REUSE_AFTER_SECONDS = 2.0
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 # A node counts as undisturbed again this long after a pause.
 PAUSE_RECOVERY_SECONDS = 3.0
@@ -44,12 +45,15 @@
         self.is_down = False
         self.stop_began_at: float | None = None
         self.memory_peak_bytes = 0
+        self.descriptors_peak = 0
+        self.ended_count = 0
+        self.started_count = 0
         self._checker = checker
         self._disturbed_until = 0.0
         self._loop = asyncio.get_running_loop()
         self._data_centre = data_centre
         self._directory = directory
-        self._checkout = checkout
+        self._root = checkout or node_files.ROOT
         self._process: asyncio.subprocess.Process | None = None
         self._watch_task: asyncio.Task | None = None
 
@@ -57,29 +61,24 @@
         """Start the upstream, the proxies and the node."""
         host = self.upstream.host
         self.to_upstream = FaultProxy(f"{host}:0", await self.upstream.start())
+        self.upstream.proxy = self.to_upstream
         self.to_store = FaultProxy(f"{host}:0", store_address)
         upstream_port = await self.to_upstream.start()
         store_port = await self.to_store.start()
-        listen = {name: f"{host}:{free_port(host)}" for name in ("outbound", "ready", "control")}
-        self.caller_address = self.upstream.caller_address = listen["outbound"]
-        self.upstream.report_address = listen["control"]
-        port = free_port(host)
-        settings = {
-            "self": {
-                "node": self.name,
-                "zone": self._data_centre,
-                "region": "nord",
-                "ip": host,
-                "app_addr": f"{host}:{upstream_port}",
-                "service": self.upstream.service,
-                "limits": {"memory_mb": MEMORY_MB},
-            },
-            "network": {"listen": listen, "port_range": [port, port]},
-            "provider": {"provider": {"address": f"{host}:{store_port}"}},
-            "terms": {"bounds": {"grace_s": GRACE_SECONDS, "budget_slack": 48}},
-        }
         self.settings_path = self._directory / f"{self.name}.yaml"
-        self.settings_path.write_text(json.dumps(settings))
+        self._settings = node_files.settings(
+            self.name,
+            self.upstream.service,
+            self._data_centre,
+            f"{host}:{upstream_port}",
+            f"{host}:{store_port}",
+        )
+        listen = self._settings["network"]["listen"]
+        self.caller_address = self.upstream.runs.caller_address = listen["outbound"]
+        self.upstream.report_address = listen["control"]
+        self.upstream.data_centre = self._data_centre
+        self._metrics_port = free_port(host)
+        self.settings_path.write_text(json.dumps(self._settings))
         self.log_path = self._directory / f"{self.name}.log"
         await self.start_node()
         self.upstream.start_heartbeats()
@@ -93,15 +92,17 @@
         """Start the node's process, which appends to the log of this machine."""
         with self.log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                NODE_MODULE,
+                *node_files.command(self._root),
                 stdout=log,
                 stderr=log,
                 # The interpreter looks for modules in its working directory first.
-                cwd=self._checkout,
-                env={"BAMBOOJUNCTION_NODE_FILE": str(self.settings_path)},
+                cwd=self._root,
+                env=node_files.environment(self._root, self.settings_path, self._metrics_port),
             )
+        limits = (DESCRIPTORS_MAX, DESCRIPTORS_MAX)
+        with contextlib.suppress(ProcessLookupError):
+            resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limits)
+        self.started_count += 1
         self.is_down = False
         self._watch_task = asyncio.create_task(self._restart_on_exit(self._process))
 
@@ -109,6 +110,7 @@
         """Restart the node's process when it exits unexpectedly, as the platform does."""
         status = await process.wait()
         if not self.is_down:
+            self.ended_count += 1
             self._checker.record_exit(self.name, status)
             await self.start_node()
 
@@ -145,24 +147,48 @@
         self.stop_began_at = None
 
     def check_memory(self) -> None:
-        """Check the resident memory of the node's process against its limit."""
+        """Check the resident memory of the node's process, and kill it if it is over its limit."""
         try:
+            descriptors = len(os.listdir(f"/proc/{self.process_id}/fd"))
             pages = int(Path(f"/proc/{self.process_id}/statm").read_text().split()[1])
         except (OSError, IndexError):
             # The process has just ended.
             return
         used_bytes = pages * PAGE_BYTES
         self.memory_peak_bytes = max(self.memory_peak_bytes, used_bytes)
+        self.descriptors_peak = max(self.descriptors_peak, descriptors)
         self._checker.check_memory(self.name, used_bytes, MEMORY_MB * 1_000_000)
+        if used_bytes > MEMORY_MB * 1_000_000:
+            self.send_signal(signal.SIGKILL)
 
     async def restart_node(self, signal_number: signal.Signals) -> None:
         """Terminate the node's process and start it again."""
         if self.is_down:
             return
         await self.terminate_node(signal_number)
+        self._write_settings()
         await asyncio.sleep(RESTART_DELAY_SECONDS)
         await self.start_node()
 
+    def _write_settings(self) -> None:
+        """Write the settings of all starts but the first of the whole system."""
+        self._settings["self"]["bootstrap"] = False
+        self.settings_path.write_text(json.dumps(self._settings))
+
+    async def replace_upstream(self, service: str, drain_seconds: float) -> None:
+        """End the upstream, then the node; start both at their addresses for another service."""
+        if self.is_down:
+            return
+        # No other fault may start the node meanwhile.
+        self.is_down = True
+        await self.upstream.end(drain_seconds)
+        await self.terminate_node(signal.SIGTERM)
+        await asyncio.sleep(REUSE_AFTER_SECONDS)
+        self._settings["self"]["service"] = service
+        self._write_settings()
+        await self.upstream.begin(service)
+        await self.start_node()
+
     async def close(self) -> None:
         """Kill the node and close the upstream and the proxies."""
         await self.terminate_node(signal.SIGKILL)
--- a/devtools/bamboo_bench/soak/shapes.py
+++ b/devtools/bamboo_bench/soak/shapes.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from bamboo_bench.soak.sites import DELIVERY_MESH, PARKING_MESH, SMALL_MESH, Mesh
+
 
 @dataclass(slots=True, frozen=True)
 class Shape:
@@ -9,8 +11,10 @@
 
     The work of a request is drawn between ``work_seconds_min`` and ``work_seconds_max``; that of a
     call that another request makes is the shortest. ``fault_names`` are the faults to draw from, in
-    ``concurrent_faults`` series side by side. With ``is_planned_work`` all faults are planned work,
-    so that no request may be cut off.
+    ``concurrent_faults`` series side by side, each with gaps of up to ``fault_gap_seconds_max``.
+    With ``is_planned_work`` all faults are planned work, so that no request may be cut off. The
+    kinds of a ``mesh`` may have work, deadlines and rates of their own; the ``caller_count``
+    callers send requests one at a time.
     """
 
     name: str
@@ -21,6 +25,8 @@
     fault_names: tuple[str, ...]
     concurrent_faults: int
     is_planned_work: bool = False
+    mesh: Mesh = SMALL_MESH
+    fault_gap_seconds_max: float = 1.0
 
 
 MIXED = Shape(
@@ -70,4 +76,70 @@
     fault_names=("lose-answers-of-service", "send-endless-bodies", "send-crashing-request"),
     concurrent_faults=2,
 )
-SHAPE_BY_NAME = {shape.name: shape for shape in (MIXED, STOPS, LOSSES)}
+# All that happens to nodes and the store, overlapping.
+MESH_NODES = Shape(
+    "mesh-nodes",
+    deadline_seconds=6.0,
+    work_seconds_min=0.02,
+    work_seconds_max=0.05,
+    caller_count=0,
+    fault_names=(
+        "stop-nodes-in-turn",
+        "stop-node",
+        "reload-nodes-in-series",
+        "kill-node",
+        "kill-some-nodes",
+        "kill-all-nodes",
+        "pause-node",
+        "harm-store",
+        "harm-store-path",
+        "refuse-nodes-at-store",
+        "forget-history",
+        "configure-in-series",
+        "send-burst",
+        "crash-upstream",
+    ),
+    concurrent_faults=4,
+    mesh=DELIVERY_MESH,
+    fault_gap_seconds_max=4.0,
+)
+# All that happens to upstreams and callers, overlapping; nodes are only stopped with upstreams.
+MESH_UPSTREAMS = Shape(
+    "mesh-upstreams",
+    deadline_seconds=5.0,
+    work_seconds_min=0.02,
+    work_seconds_max=0.05,
+    caller_count=0,
+    fault_names=(
+        "crash-upstream",
+        "drain-upstream",
+        "replace-upstream",
+        "slow-upstream",
+        "fail-some-requests",
+        "lose-answers",
+        "lose-answers-of-service",
+        "spoil-answers",
+        "harm-upstream-path",
+        "send-crashing-request",
+        "send-burst",
+        "repeat-at-once",
+        "leave-early",
+        "configure-in-series",
+    ),
+    concurrent_faults=4,
+    mesh=PARKING_MESH,
+)
+# Only planned work: stops in turn, reloads in series and configurations.
+MESH_PLANNED = Shape(
+    "mesh-planned",
+    deadline_seconds=5.0,
+    work_seconds_min=0.02,
+    work_seconds_max=0.05,
+    caller_count=0,
+    fault_names=("stop-nodes-in-turn", "reload-nodes-in-series", "configure-in-series"),
+    concurrent_faults=2,
+    is_planned_work=True,
+    mesh=PARKING_MESH,
+)
+SHAPES = (MIXED, STOPS, LOSSES, MESH_NODES, MESH_UPSTREAMS, MESH_PLANNED)
+SHAPE_BY_NAME = {shape.name: shape for shape in SHAPES}
--- a/devtools/bamboo_bench/soak/upstreams.py
+++ b/devtools/bamboo_bench/soak/upstreams.py
@@ -3,27 +3,22 @@
 import asyncio
 import contextlib
 import itertools
-import random
 import time
 from collections.abc import Callable
 
 import aiohttp
 from aiohttp import web
 
-from bamboo_bench.soak.invariants import InvariantChecker, Request
+from bamboo_bench.soak.invariants import InvariantChecker
+from bamboo_bench.soak.runs import Runs
 from bamboo_bench.soak.shapes import Shape
+from bamboo_standins.fault_proxy import FaultProxy
 from bamboo_standins.process_fleet import free_port
 
-# The virtual host of every request.
-HOST = "soak.example"
 HEARTBEAT_SECONDS = 0.4
-SLOTS = 8
-CHILD_SUFFIX = "/inner"
 CRASHING_SUFFIX = "/crashing"
 CRASH_SECONDS = 2.0
 ENDLESS_PIECE = b"8000\r\n" + b"x" * 0x8000 + b"\r\n"
-# The service that each service calls while it runs a request.
-CALLEE_BY_SERVICE = {"pay": "stock"}
 
 
 def answer_body(request_id: str, path: str) -> bytes:
@@ -34,8 +29,8 @@
 class Upstream:
     """An HTTP server that runs the requests of its node, with injected faults.
 
-    It reports to the node on the same machine in heartbeats. ``drained_at`` is when the node
-    acknowledged that the current incarnation drains.
+    It reports to the node on the same machine in heartbeats. ``proxy`` is the one in front of it.
+    ``drained_at`` is when the node acknowledged that the current incarnation drains.
     """
 
     def __init__(
@@ -47,20 +42,19 @@
         clock: Callable[[], float],
     ):
         self._shape = shape
-        self._random = random.Random(host)
+        self.runs = Runs(service, host, checker, shape, clock)
         self.sends_endless_bodies = False
         self.service = service
         self.host = host
+        self.proxy: FaultProxy | None = None
+        self.data_centre = ""
         self.report_address = ""
-        self.caller_address = ""
         self.drained_at: float | None = None
-        self.slow_seconds = 0.0
         self.loses_answers = False
         self.sends_extra_answers = False
         self._checker = checker
         self._clock = clock
         self._incarnation_numbers = itertools.count(1)
-        self._child_numbers = itertools.count(1)
         self._lifecycle_state = "ready"
         self._is_up = True
         self._heartbeat_task: asyncio.Task | None = None
@@ -90,14 +84,38 @@
         await self._runner.cleanup()
 
     async def crash(self, seconds: float) -> None:
-        """Stay down for a time in seconds, then come back as a new incarnation."""
-        self._is_up = False
-        await asyncio.sleep(seconds)
-        self._begin_incarnation()
-        self._is_up = True
+        """Break all connections, refuse new ones for a time in seconds, then come back as another.
+
+        Do nothing if the upstream is down.
+        """
+        if self._is_up:
+            await self._end_server()
+            await asyncio.sleep(seconds)
+            await self._begin_server()
 
     async def leave(self, seconds: float) -> None:
-        """Drain, keep serving for ``seconds``, deregister and come back as a new incarnation.
+        """Drain, deregister after ``seconds`` and come back as a new incarnation.
+
+        Raise TimeoutError if the node does not acknowledge within ``seconds``.
+        """
+        await self._drain(seconds)
+        await self.crash(0.5)
+
+    async def end(self, seconds: float) -> None:
+        """Drain, deregister after ``seconds`` and end; without an acknowledgement, end anyway."""
+        with contextlib.suppress(TimeoutError):
+            await self._drain(seconds)
+        await self._end_server()
+
+    async def begin(self, service: str) -> None:
+        """Start the ended upstream at its address as a new one of a service."""
+        await self._end_server()
+        self.service = service
+        self.runs = self.runs.of_service(service)
+        await self._begin_server()
+
+    async def _drain(self, seconds: float) -> None:
+        """Drain, keep serving for ``seconds`` and deregister.
 
         Raise TimeoutError if the node does not acknowledge within ``seconds``.
         """
@@ -107,7 +125,6 @@
                 await asyncio.sleep(0.02)
         await asyncio.sleep(seconds)
         await self._report("DELETE")
-        await self.crash(0.5)
 
     def _begin_incarnation(self) -> None:
         self.instance_id = f"i-{self.service}-{self.host}-{next(self._incarnation_numbers)}"
@@ -128,9 +145,9 @@
         body = {
             "service": self.service,
             "address": f"{self.host}:1",
-            "zone": "lac",
+            "zone": self.data_centre,
             "version": "v1",
-            "slots": SLOTS,
+            "slots": self.runs.slot_count,
             "state": state,
             "cold_left_ms": 0,
             "sequence": next(self._sequence),
@@ -154,19 +171,23 @@
         if request.headers["Bamboojunction-Expect-Instance"] != self.instance_id:
             return web.Response(status=421, headers=headers)
         remaining = int(request.headers["Bamboojunction-Deadline-Ms"]) / 1000
+        if self.runs.is_full:
+            headers["Bamboojunction-Not-Executed"] = "full"
+            return web.Response(status=503, headers=headers)
+        service, path = self.runs.identify(request.path, request_id, await request.read())
         self._checker.check_run(
-            request_id, self.service, request.path, self._clock(), remaining, self.drained_at
+            request_id, service, path, self._clock(), remaining, self.drained_at
         )
         if CRASHING_SUFFIX in request.path:
             self._checker.record_crash(request.path)
-            self._crash_task = asyncio.create_task(self._end_server(CRASH_SECONDS))
+            self._crash_task = asyncio.create_task(self.crash(CRASH_SECONDS))
             await asyncio.sleep(CRASH_SECONDS)
-        status = await self._call_dependency(request_id, remaining)
-        await asyncio.sleep(self._work_seconds(request.path) + self.slow_seconds)
+        status = await self.runs.run(self.session, request.path, request_id, remaining)
         if self.sends_endless_bodies:
             await self._send_without_end(request, request_id)
         if self.loses_answers or not self._is_up:
             _abort(request)
+        headers["Bamboojunction-Server-Load"] = self.runs.load
         body = answer_body(request_id, request.path)
         response = web.Response(status=status, body=body, headers=headers)
         if self.sends_extra_answers:
@@ -177,23 +198,24 @@
                 request.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore")
         return response
 
-    def _work_seconds(self, path: str) -> float:
-        if path.endswith(CHILD_SUFFIX):
-            return self._shape.work_seconds_min
-        return self._random.uniform(self._shape.work_seconds_min, self._shape.work_seconds_max)
-
-    async def _end_server(self, seconds: float) -> None:
-        """Stop listening and break all connections, then come back as a new incarnation."""
+    async def _end_server(self) -> None:
+        """Stop listening and break all connections."""
         if not self._is_up:
             return
         self._is_up = False
+        self.proxy.refuse_connections()
         await self._site.stop()
         for connection in list(self._runner.server.connections):
             connection.force_close()
-        await asyncio.sleep(seconds)
+
+    async def _begin_server(self) -> None:
+        """Listen again as a new incarnation."""
+        if self._is_up:
+            return
         self._begin_incarnation()
         self._site = web.TCPSite(self._runner, self.host, self._port)
         await self._site.start()
+        await self.proxy.start()
         self._is_up = True
 
     async def _send_without_end(self, request: web.Request, request_id: str) -> None:
@@ -210,35 +232,8 @@
                 transport.write(ENDLESS_PIECE)
             await asyncio.sleep(0.001)
 
-    async def _call_dependency(self, parent: str, remaining: float) -> int:
-        """Call the service that this one depends on, and return the status to answer with."""
-        service = CALLEE_BY_SERVICE.get(self.service)
-        if service is None:
-            return 200
-        request_id = f"{parent}.{next(self._child_numbers)}"
-        path = f"/{service}{CHILD_SUFFIX}"
-        deadline = self._clock() + remaining
-        self._checker.record_request(request_id, Request(service, False, path, deadline))
-        headers = request_headers(request_id, remaining)
-        url = f"http://{self.caller_address}{path}"
-        try:
-            async with self.session.get(url, headers=headers) as answer:
-                await answer.read()
-                return 200 if answer.status == 200 else 500
-        except (aiohttp.ClientError, TimeoutError):
-            return 500
-
 
 def _abort(request: web.Request) -> None:
     """Close the connection of a request without an answer, unless it is closed."""
     if request.transport is not None:
         request.transport.abort()
-
-
-def request_headers(request_id: str, remaining: float) -> dict[str, str]:
-    """Return the headers of a request that has ``remaining`` seconds left."""
-    return {
-        "Host": HOST,
-        "Bamboojunction-Request-Id": request_id,
-        "Bamboojunction-Deadline-Ms": str(int(remaining * 1000)),
-    }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,11 +6,11 @@
 from pathlib import Path
 
 from bamboo_bench.soak.command import SoakTest
-from bamboo_bench.soak.shapes import LOSSES, MIXED, STOPS, Shape
+from bamboo_bench.soak.shapes import LOSSES, MESH_UPSTREAMS, MIXED, STOPS, Shape
 
 SECONDS = 5.0
 # The shape "stops" cut a request that outlasted all before it, with seed 41.
-SEED_BY_SHAPE = {STOPS: 41, LOSSES: 10}
+SEED_BY_SHAPE = {STOPS: 41, LOSSES: 10, MESH_UPSTREAMS: 602}
 # Seeds that once led to a violated invariant, and the fault that caused it.
 CAUSE_BY_SEED = {
     7: "a reload signal during startup ended the node's process",
