Measured how late a soak itself runs

A caller that gets no answer in time may have been late itself, as callers, upstreams and proxies share one process.

--- a/devtools/bamboo_bench/soak/command.py
+++ b/devtools/bamboo_bench/soak/command.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from cleo.commands.command import Command
 from cleo.helpers import option
+from hdrh.histogram import HdrHistogram
 
 from bamboo_bench.soak.callers import Caller
 from bamboo_bench.soak.faults import FaultInjector
@@ -28,6 +29,7 @@
 RECOVERY_TIMEOUT_SECONDS = 15.0
 POLL_SECONDS = 0.2
 MEMORY_CHECK_SECONDS = 0.1
+LAG_MAX_MS = 60_000
 
 
 class SoakTest:
@@ -41,6 +43,8 @@
         self._configuration_versions = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._configuration_writes: set[asyncio.Task] = set()
+        # How late the callers, upstreams and proxies of this process run.
+        self.lags_ms = HdrHistogram(1, LAG_MAX_MS, 2)
         self.checker = InvariantChecker()
         self.machines: list[Machine] = []
         self.outcomes: Counter[str] = Counter()
@@ -111,7 +115,9 @@
         while True:
             for machine in self.machines:
                 machine.check_memory()
+            due_at = self._loop.time() + MEMORY_CHECK_SECONDS
             await asyncio.sleep(MEMORY_CHECK_SECONDS)
+            self.lags_ms.record_value(max(1, int(1000 * (self._loop.time() - due_at))))
 
     async def _send_crashing_request(self, machine: Machine, number: int) -> None:
         """Send a read that crashes each upstream that runs it, the same one for each number."""
@@ -206,7 +212,9 @@
             await soak.run(float(self.option("seconds")))
         self.line(
             f"seed {seed} answers {json.dumps(soak.outcomes)} faults {json.dumps(soak.faults)} "
-            f"peak {max(each.memory_peak_bytes for each in soak.machines) // 1_000_000} MB"
+            f"peak {max(each.memory_peak_bytes for each in soak.machines) // 1_000_000} MB "
+            f"lag of the run p99 {soak.lags_ms.get_value_at_percentile(99)} ms, "
+            f"most {soak.lags_ms.get_max_value()} ms"
         )
         for line in report_lines(soak.traffic, soak.checker, soak.machines):
             self.line(line)
