--- a/bamboojunction/checks/machine.py
+++ b/bamboojunction/checks/machine.py
@@ -3,10 +3,10 @@
 from collections import Counter
 
 from bamboojunction.checks.messages import CheckMessage, Level
-from bamboojunction.conf.addresses import split_address
+from bamboojunction.conf.addresses import is_valid_address
 from bamboojunction.platform.node_settings import PlatformNodeSettings
+from bamboojunction.platform_node.listeners import link_addresses
 
-PORT_MAX = 65_535
 # The time that callers need to stop using the node and that their last requests need to finish.
 STOP_SECONDS_MIN = 4.0
 
@@ -17,6 +17,7 @@
         *_check_address_format(settings),
         *_check_distinct_addresses(settings),
         *_check_limits(settings),
+        *_check_defaults(settings),
     ]
 
 
@@ -40,13 +41,15 @@
             "write it as IP:PORT",
         )
         for purpose, address in _address_by_purpose(settings).items()
-        if not _is_address(address)
+        if not is_valid_address(address)
     ]
 
 
 def _check_distinct_addresses(settings: PlatformNodeSettings) -> list[CheckMessage]:
-    counts = Counter(_address_by_purpose(settings).values())
-    return [
+    address_by_purpose = _address_by_purpose(settings)
+    del address_by_purpose["links"]
+    counts = Counter(address_by_purpose.values())
+    messages = [
         CheckMessage(
             "machine.E002",
             Level.ERROR,
@@ -56,19 +59,21 @@
         for address, count in counts.items()
         if count > 1
     ]
-
-
-def _check_limits(settings: PlatformNodeSettings) -> list[CheckMessage]:
-    messages = []
-    if min(settings.retry_ratio, settings.retry_slack) < 0 or settings.retry_window_seconds <= 0:
+    # Links leave the ports of other purposes out, so their range may hold some of them.
+    if is_valid_address(settings.link_address) and not link_addresses(settings):
         messages.append(
             CheckMessage(
-                "machine.E003",
+                "machine.E002",
                 Level.ERROR,
-                "a limit of the retry budget is negative, or its window is not positive",
-                "set budget_ratio and budget_slack to at least 0 and budget_window_s above 0",
+                f"each port of the links' range from {settings.link_address} has another purpose",
+                "widen port_range",
             )
         )
+    return messages
+
+
+def _check_limits(settings: PlatformNodeSettings) -> list[CheckMessage]:
+    messages = []
     if settings.stop_seconds < STOP_SECONDS_MIN:
         messages.append(
             CheckMessage(
@@ -81,9 +86,13 @@
     return messages
 
 
-def _is_address(address: str) -> bool:
-    try:
-        host, port = split_address(address)
-    except ValueError:
-        return False
-    return bool(host) and 0 < port <= PORT_MAX
+def _check_defaults(settings: PlatformNodeSettings) -> list[CheckMessage]:
+    return [
+        CheckMessage(
+            "machine.W002",
+            Level.WARNING,
+            str(entry),
+            "set a value of the documented type and size",
+        )
+        for entry in settings.defaulted
+    ]
--- a/bamboojunction/core/retries/fleet_budget.py
+++ b/bamboojunction/core/retries/fleet_budget.py
@@ -11,6 +11,9 @@
 # Unspent retries expire after this share of the window.
 RETRY_TTL_SHARE = 0.5
 UNSPENT_RETRIES_MAX = 1_000
+# A node that sees fewer nodes than before divides the slack by the earlier number for this long:
+# the others may only be out of sight and still spend their share.
+SIZE_MEMORY_SECONDS = 60.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -22,6 +25,29 @@
     window: float
 
 
+class FleetSize:
+    """The number of nodes that share the fleet's limit, the largest one of the recent past."""
+
+    __slots__ = ("_largest", "_largest_until", "_latest")
+
+    def __init__(self):
+        self._latest = self._largest = 1
+        self._largest_until = 0.0
+
+    def record(self, count: int, now: float) -> None:
+        """Record how many nodes are seen from now on."""
+        if self._latest == self._largest:
+            self._largest_until = now + SIZE_MEMORY_SECONDS
+        self._latest = count
+        self._largest = max(self._largest, count)
+
+    def count(self, now: float) -> int:
+        """Return the number of nodes to divide the slack by."""
+        if now >= self._largest_until:
+            self._largest = self._latest
+        return self._largest
+
+
 class FleetRetryBudget:
     """The retries that one node may spend for one service.
 
@@ -45,6 +71,13 @@
 
     def spend(self, now: float) -> bool:
         """Spend a retry, and return False when none is left."""
+        if not self.available(now):
+            return False
+        self.take(1)
+        return True
+
+    def available(self, now: float) -> int:
+        """Return how many retries may be spent now."""
         ttl = self._retry_limit.window * RETRY_TTL_SHARE
         elapsed = min(ttl, max(0.0, now - self._updated_at))
         self._updated_at = now
@@ -52,10 +85,12 @@
         self._earn(slack * elapsed / self._retry_limit.window, now)
         while self._expiries and self._expiries[0] <= now:
             self._expiries.popleft()
-        if not self._expiries:
-            return False
-        self._expiries.popleft()
-        return True
+        return len(self._expiries)
+
+    def take(self, retries: int) -> None:
+        """Spend retries, at most those that are left."""
+        for _ in range(min(retries, len(self._expiries))):
+            self._expiries.popleft()
 
     def retries_left(self) -> int:
         """Return how many retries were earned and neither spent nor removed as expired."""
--- a/bamboojunction/platform_node/gate.py
+++ b/bamboojunction/platform_node/gate.py
@@ -19,6 +19,7 @@
 )
 from bamboojunction.core.poison.fingerprints import fingerprint_of
 from bamboojunction.core.poison.guard import PoisonGuard
+from bamboojunction.core.retries.chain_costs import ChainCosts
 from bamboojunction.core.retries.forwarding import SERVER_ERROR_STATUS
 from bamboojunction.core.routes import CurrentRoutes
 from bamboojunction.core.table.rows import Effect, Row, default_weight
@@ -31,6 +32,7 @@
 from bamboojunction.upstreams.client import UpstreamResult
 from bamboojunction.upstreams.connection import ExchangeFailure, RawResponse
 from bamboojunction.upstreams.pool import UpstreamPool
+from bamboojunction.upstreams.recent_ids import RecentRequestIds
 
 # Used until the first heartbeat of the upstream reports the real number.
 INITIAL_SLOTS = 1
@@ -40,10 +42,11 @@
 class UpstreamSender:
     """A client that sends admitted calls to the local upstream."""
 
-    __slots__ = ("_current_routes", "_pool", "on_misdirected_call")
+    __slots__ = ("_current_routes", "_pool", "_sent_ids", "on_misdirected_call")
 
     def __init__(self, pool: UpstreamPool, current_routes: CurrentRoutes):
         self._pool = pool
+        self._sent_ids = RecentRequestIds()
         self._current_routes = current_routes
         self.on_misdirected_call = lambda: None
 
@@ -51,13 +54,16 @@
         """Send a call and read the whole response, at most until the call's deadline."""
         # The event loop's clock may have a resolution of only one millisecond.
         started = time.monotonic()
-        is_idempotent = self._current_routes.row(call.kind).effect is Effect.IDEMPOTENT
         request = render_request(call, headers)
+        # A parent call that runs again makes its child calls again, under the same ids. On a
+        # connection that carried an id before, a late copy of the first answer looks like the next.
+        may_reuse = not self._sent_ids.record(call.action)
         response = await self._pool.exchange(
             request,
-            is_idempotent,
+            self._is_idempotent(call),
             lambda headers: requests.response_owner(headers, call.action),
             call.deadline,
+            may_reuse,
         )
         outcome, completion_status = self._interpret_response(call, response)
         seconds = time.monotonic() - started
@@ -66,6 +72,9 @@
         is_crash_seen = is_broken and await self._pool.refuses_connections()
         return UpstreamResult(outcome, completion_status, seconds, is_crash_seen)
 
+    def _is_idempotent(self, call: Call) -> bool:
+        return self._current_routes.row(call.kind).effect is Effect.IDEMPOTENT
+
     def _interpret_response(
         self, call: Call, response: RawResponse | ExchangeFailure
     ) -> tuple[Outcome, CompletionStatus]:
@@ -88,13 +97,23 @@
             if requests.is_misdirected(response.status):
                 self.on_misdirected_call()
             return NotRun(NotRunReason.UPSTREAM_REFUSED), CompletionStatus.OVERLOADED
+        headers = requests.end_to_end_headers(response.headers)
+        is_unproven = requests.is_unstamped_success(response.status, headers) or (
+            not self._is_idempotent(call) and requests.tells_caller_not_run(response.status)
+        )
+        if is_unproven:
+            return Unknown(UnknownReason.TRUNCATED), CompletionStatus.FAILED
         completion_status = (
             CompletionStatus.FAILED if response.status >= 500 else CompletionStatus.SUCCEEDED
         )
-        headers = requests.end_to_end_headers(response.headers)
         return Ran(response.status, headers, response.body), completion_status
 
 
+def _is_refused_by_gate(outcome: Outcome) -> bool:
+    """Return whether a call was not run and never reached the upstream."""
+    return isinstance(outcome, NotRun) and outcome.reason is not NotRunReason.UPSTREAM_REFUSED
+
+
 def render_request(call: Call, headers: list[tuple[str, str]]) -> bytes:
     """Return the bytes of an HTTP/1.1 request with a Content-Length body."""
     lines = [f"{call.method} {call.path} HTTP/1.1"]
@@ -115,6 +134,7 @@
         "_local_upstream",
         "_running_by_request_id",
         "_service",
+        "chain_costs",
         "dependencies",
         "stop_window",
     )
@@ -144,6 +164,7 @@
         self._running_by_request_id: dict[str, Call] = {}
         self._events = events
         self.dependencies = ServiceDependencies()
+        self.chain_costs = ChainCosts()
 
     def parent_of(self, request_id: str) -> Call | None:
         """Return the running call that a request is a child of, or None.
@@ -169,12 +190,12 @@
     async def _serve(self, call: Call) -> GateReply:
         started = self._loop.time()
         reply = await self._serve_or_refuse(call)
-        if self._is_stopping and isinstance(reply.outcome, NotRun):
+        if self._is_stopping and _is_refused_by_gate(reply.outcome):
             # The upstream keeps running while this node restarts, so peers should soon retry here.
             reply = self._refusal_reply(call, NotRun(NotRunReason.UNREACHABLE))
         seconds = self._loop.time() - started
         self._events.gate_answered(call, reply, seconds)
-        return GateReply(reply.outcome, reply.report, reply.service_seconds, seconds)
+        return replace(reply, gate_seconds=seconds)
 
     async def _serve_or_refuse(self, call: Call) -> GateReply:
         if call.service != self._service or not self._local_upstream.is_known:
@@ -194,14 +215,22 @@
 
     def _refusal_before_start(self, call: Call) -> NotRun | None:
         """Refuse a call that would be cut off when this node closes."""
-        now = self._loop.time()
-        if self.stop_window is None or self.stop_window.has_room(
-            call.deadline, self._durations.longest(call.kind, now), now
-        ):
+        if self.stop_window is None or self._is_safe_to_start(call, self.stop_window):
             return None
         # Shorter calls are still served, so peers must not take the instance for draining.
         return NotRun(NotRunReason.FULL, UNREACHABLE_RETRY_AFTER_SECONDS)
 
+    def _is_safe_to_start(self, call: Call, stop_window: StopWindow) -> bool:
+        """Return whether a call is not lost when this node closes.
+
+        An idempotent call that is cut off is repeated at another gate, so an estimate of its end is
+        enough. Any other call is lost, while another gate can serve it if it is refused here.
+        """
+        if self._current_table.row(call.kind).effect is not Effect.IDEMPOTENT:
+            return stop_window.ends_within(call.deadline)
+        now = self._loop.time()
+        return stop_window.has_room(call.deadline, self._durations.longest(call.kind, now), now)
+
     def _chain_refusal(self, call: Call) -> NotRun | None:
         """Refuse a call at the top of its chain if a service below would shed the chain.
 
@@ -247,6 +276,8 @@
         match reply.outcome:
             case Ran(status=status) if status >= SERVER_ERROR_STATUS and call.has_refused_child:
                 return replace(reply, outcome=replace(reply.outcome, failed_below=True))
+            case Ran(status=status) if status < SERVER_ERROR_STATUS and call.child_calls:
+                return replace(reply, calls_below=self.chain_costs.calls_of_run(call.child_calls))
         return reply
 
     def _shows_crash(self, reply: UpstreamResult) -> bool:
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -13,7 +13,6 @@
 from bamboojunction.core.graceful_shutdown import StopWindow
 from bamboojunction.core.membership.departures import DepartureRecord, UpstreamDeparture
 from bamboojunction.core.membership.reachability import ConnectFailureTracker
-from bamboojunction.core.membership.ring import Ring
 from bamboojunction.core.membership.view import Announcement, InstanceState, MembershipView
 from bamboojunction.core.memory_budget import MemoryBudget
 from bamboojunction.core.outcomes import NotRun, NotRunReason
@@ -45,8 +44,10 @@
 from bamboojunction.platform_node.gate import PlatformNodeGate, UpstreamSender
 from bamboojunction.platform_node.listeners import Listeners
 from bamboojunction.platform_node.local_upstream import LocalUpstream, UpstreamChange
+from bamboojunction.platform_node.metrics_listener import MetricsListener
 from bamboojunction.platform_node.peer_sync import PeerSync
 from bamboojunction.platform_node.store_sync import StoreSync
+from bamboojunction.platform_node.store_watchers import StoreWatchers
 from bamboojunction.platform_node.supervision import run_supervised
 from bamboojunction.telemetry.events import EventLog
 from bamboojunction.telemetry.line_output import LineOutput
@@ -75,8 +76,6 @@
     idle_close_seconds=60.0,
     frame_max_bytes=LINK_FRAME_MAX_BYTES,
 )
-# Nodes of each data centre that follow the configuration without allowing stale answers.
-STORE_WATCHERS_PER_DATA_CENTRE = 2
 # Part of the process's memory limit that the bodies of requests and responses may take. A body has
 # up to two copies, as it is encoded for a link or for the upstream.
 BODY_MEMORY_SHARE = 0.25
@@ -104,7 +103,6 @@
         self.events = EventLog(settings.instance, LineOutput(log_descriptor, self._loop.time()))
         self.current_routes = CurrentRoutes()
         self.view = MembershipView()
-        self._ring = Ring(self.view, settings.data_centre, STORE_WATCHERS_PER_DATA_CENTRE)
         self.router = Router.from_config(settings)
         self._pause_detector = PauseDetector(self._loop.time())
         host, _ = split_address(settings.link_address)
@@ -155,6 +153,9 @@
             settings.store_history_seconds,
         )
         self.store_sync.own_instance = settings.instance
+        self.store_watchers = StoreWatchers(
+            settings.instance, settings.data_centre, self.view, self.links, self.store_sync
+        )
         self.store_sync.on_instances_changed = self._instances_changed
         self.store_sync.on_departures_read = self._restore_departures
         self.link_server = LinkServer(
@@ -167,7 +168,7 @@
         ports = PlatformNodeAppPorts(
             split_address(settings.caller_address)[1],
             split_address(settings.ready_address)[1],
-            self._listeners.metrics.getsockname()[1],
+            split_address(settings.report_address)[1],
         )
         self.app = PlatformNodeApp(
             settings.service,
@@ -179,14 +180,12 @@
             ports,
         )
         self.app.wait_until_stored = self.store_sync.wait_until_stored
-        sockets = [
-            self._listeners.callers,
-            self._listeners.ready,
-            self._listeners.reports,
-            self._listeners.metrics,
-        ]
+        sockets = [self._listeners.callers, self._listeners.ready, self._listeners.reports]
         self.events.prometheus_metrics.collect_state = self._read_gauges
         self.server = ForwardingServer(self.app, sockets, self.body_memory, KEEP_ALIVE_SECONDS)
+        self._metrics_listener = MetricsListener(
+            self._listeners.metrics_address, ports.all, self.server.serve_on, self.events
+        )
         self._remote_addresses: frozenset[str] = frozenset()
         self._tasks: list[asyncio.Task] = []
 
@@ -196,10 +195,12 @@
         await self.server.start()
         self.store_sync.start()
         coroutine_function_by_name = {
+            "listen_for_metrics": self._metrics_listener.run,
             "close_idle_links": self.links.close_idle,
             "watch_pauses": self._watch_pauses,
             "report_left_out": self.events.report_dropped_lines,
             "remove_absent": self._remove_unreachable,
+            "check_store_watchers": self.store_watchers.check_reachability,
         }
         self._tasks = [
             asyncio.create_task(run_supervised(name, run, self.events))
@@ -212,6 +213,7 @@
             data_centre=self.settings.data_centre,
             link_address=self._link_address,
         )
+        self._report_defaulted_fields()
 
     async def stop(self) -> None:
         """Stop gracefully.
@@ -264,10 +266,15 @@
         if isinstance(loaded, Err):
             self.events.reload_failed(loaded.err())
             return
-        settings = self.settings = loaded.ok()
+        settings = self.settings = loaded.ok().with_values_in_force(self.settings)
+        self._report_defaulted_fields()
         self.forwarder.set_retry_limit(retry_limit(settings))
         self.events.reloaded(stop_seconds=settings.stop_seconds)
 
+    def _report_defaulted_fields(self) -> None:
+        for entry in self.settings.defaulted:
+            self.events.setting_defaulted(entry.field, entry.value, entry.used)
+
     def _is_remote(self, address: str) -> bool:
         """Return whether the node at a link address is known to be in another data centre."""
         return address in self._remote_addresses
@@ -355,7 +362,7 @@
             if entry.data_centre != self.settings.data_centre
         )
         self.forwarder.node_count = max(1, len(by_instance))
-        self.store_sync.set_store_watcher(self._ring.watches_platform(self.settings.instance))
+        self.store_watchers.update_instances()
         for service in self.view.pop_changed_services():
             self.router.update_instances(service, self.view.serving(service))
         for name in joined:
--- a/bamboojunction/upstreams/connection.py
+++ b/bamboojunction/upstreams/connection.py
@@ -9,14 +9,19 @@
 import httptools
 
 from bamboojunction.core.memory_budget import BodyReservation, MemoryBudget
+from bamboojunction.upstreams.response_heads import contains_status_line
 
 Headers = tuple[tuple[str, str], ...]
 
 # Bound on the bytes that bring a response neither to the end of its head nor on in its body:
 # headers, interim (1xx) responses and trailers.
 HEAD_MAX_BYTES = 65_536
+# Bytes of chunk framing that one byte of a body makes up for.
+FRAMING_BYTES_PER_BODY_BYTE = 64
 # Bound on complete responses to other requests that are skipped before the right one.
 FOREIGN_RESPONSES_MAX = 4
+# The status codes of HTTP (RFC 9110, section 15).
+STATUS_MIN, STATUS_MAX = 100, 599
 
 
 class ExchangeFailure(Enum):
@@ -155,6 +160,9 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
+        # The loss of the connection is reported one step later.
+        self._is_closed = True
+        self.is_reusable = False
         if self._waiter is not None and self._are_headers_complete and not self._has_explicit_end:
             self._end_response(keep_alive=False)
         return False
@@ -174,6 +182,11 @@
         if self._is_complete:
             self._stop_reuse()
 
+    def on_status(self, reason: bytes) -> None:
+        """Append a part of the reason phrase."""
+        if not self._is_complete:
+            self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are not forwarded."""
         if not self._are_headers_complete:
@@ -189,12 +202,17 @@
         if self._status >= 200:
             self._bytes_without_progress = 0
         self._has_explicit_end = bool(names & {"content-length", "transfer-encoding"})
+        is_known_status = STATUS_MIN <= self._status <= STATUS_MAX
+        reason = self._reason.decode("latin-1")
+        if not is_known_status or contains_status_line(reason, self._headers):
+            self._resolve(ExchangeFailure.MALFORMED)
 
     def on_body(self, body: bytes) -> None:
         """Append a chunk of the body, within the bounds on one body and on all bodies."""
         if self._is_complete or self._is_oversized:
             return
-        self._bytes_without_progress = 0
+        progress = len(body) * FRAMING_BYTES_PER_BODY_BYTE
+        self._bytes_without_progress = max(0, self._bytes_without_progress - progress)
         is_within_bounds = len(self._body) + len(
             body
         ) <= self._body_max_bytes and self._reservation.grow(len(body))
@@ -227,6 +245,7 @@
         self._complete()
 
     def _discard_response(self) -> None:
+        self._reason.clear()
         self._headers.clear()
         self._release_body()
         self._are_headers_complete = False
@@ -237,6 +256,7 @@
 
     def _reset(self) -> None:
         self._status = 0
+        self._reason = bytearray()
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
         self._has_response_bytes = False
--- a/devtools/bamboo_bench/soak/command.py
+++ b/devtools/bamboo_bench/soak/command.py
@@ -8,15 +8,16 @@
 from collections import Counter
 from pathlib import Path
 
-import aiohttp
 from aiohttp import web
 from cleo.commands.command import Command
 from cleo.helpers import option
 from hdrh.histogram import HdrHistogram
 
 from bamboo_bench.soak.callers import Caller
+from bamboo_bench.soak.exchange import create_session
 from bamboo_bench.soak.faults import FaultInjector
 from bamboo_bench.soak.invariants import InvariantChecker
+from bamboo_bench.soak.invariants.timeline import STORE, Change, Disturbance
 from bamboo_bench.soak.machines import Machine
 from bamboo_bench.soak.report import report_lines
 from bamboo_bench.soak.shapes import MIXED, SHAPE_BY_NAME, Shape
@@ -28,16 +29,19 @@
 STARTUP_TIMEOUT_SECONDS = 20.0
 RECOVERY_TIMEOUT_SECONDS = 15.0
 POLL_SECONDS = 0.2
-MEMORY_CHECK_SECONDS = 0.1
+OBSERVATION_SECONDS = 0.1
 LAG_MAX_MS = 60_000
 
 
 class SoakTest:
     """A soak test of machines under load and seeded faults."""
 
-    def __init__(self, directory: Path, seed: int, shape: Shape = MIXED):
+    def __init__(
+        self, directory: Path, seed: int, shape: Shape = MIXED, checkout: Path | None = None
+    ):
         self._directory = directory
         self._shape = shape
+        self._checkout = checkout
         self._seed = seed
         self._platform = PlatformStandIn()
         self._configuration_versions = itertools.count(1)
@@ -45,7 +49,7 @@
         self._configuration_writes: set[asyncio.Task] = set()
         # How late the callers, upstreams and proxies of this process run.
         self.lags_ms = HdrHistogram(1, LAG_MAX_MS, 2)
-        self.checker = InvariantChecker()
+        self.checker = InvariantChecker(shape.is_planned_work)
         self.machines: list[Machine] = []
         self.outcomes: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
@@ -61,7 +65,7 @@
             await self._run_load(seconds)
             await self._clear_faults()
             await self._wait_until_served("recover", RECOVERY_TIMEOUT_SECONDS)
-            self.checker.finish()
+            self.checker.finish(self._loop.time())
         finally:
             await asyncio.gather(*(machine.close() for machine in self.machines))
             await runner.cleanup()
@@ -71,11 +75,11 @@
         mesh = self._shape.mesh
         for number, service in enumerate(mesh.services):
             host = f"127.30.{self._seed % 250}.{number + 1}"
-            upstream = Upstream(service, host, self.checker, self._shape, self._loop.time)
             name = f"{service}-{number}"
+            upstream = Upstream(service, host, self.checker, self._shape, self._loop.time)
             data_centre = mesh.data_centres[number % len(mesh.data_centres)]
             self.machines.append(
-                Machine(name, upstream, data_centre, self._directory, self.checker)
+                Machine(name, upstream, data_centre, self._directory, self.checker, self._checkout)
             )
         await asyncio.gather(*(machine.start(store_address) for machine in self.machines))
 
@@ -89,7 +93,7 @@
         tasks = [asyncio.create_task(each.run(stop)) for each in (*callers, self.traffic)]
         # One caller for all of them, as its seed gives the ids of its requests.
         self._crashing_caller = self._create_caller(self._shape.caller_count + 1)
-        memory_task = asyncio.create_task(self._check_memory())
+        observation_task = asyncio.create_task(self._observe())
         injector = FaultInjector(
             self.machines,
             self._platform,
@@ -102,7 +106,7 @@
         await injector.run(seconds)
         stop.set()
         await asyncio.gather(*tasks)
-        memory_task.cancel()
+        observation_task.cancel()
         self.faults = injector.count_by_fault
         for caller in (*callers, traffic_caller):
             self.outcomes += caller.count_by_outcome
@@ -111,19 +115,29 @@
         seed = self._seed * 1000 + number
         return Caller(self.machines, self.checker, self._shape, seed, self._loop.time)
 
-    async def _check_memory(self) -> None:
+    async def _observe(self) -> None:
+        """Observe the memory of the nodes, and the disturbances of their paths and of the store."""
+        disturbance: Disturbance | None = None
         while True:
             for machine in self.machines:
                 machine.check_memory()
-            due_at = self._loop.time() + MEMORY_CHECK_SECONDS
-            await asyncio.sleep(MEMORY_CHECK_SECONDS)
-            self.lags_ms.record_value(max(1, int(1000 * (self._loop.time() - due_at))))
+                machine.observe_path()
+            now = self._loop.time()
+            is_store_disturbed = self._platform.faults != StoreFaults()
+            if is_store_disturbed and disturbance is None:
+                disturbance = self.checker.timeline.begin(STORE, now - OBSERVATION_SECONDS)
+            elif not is_store_disturbed and disturbance is not None:
+                disturbance.ended_at = now
+                disturbance = None
+            await asyncio.sleep(OBSERVATION_SECONDS)
+            late_seconds = self._loop.time() - now - OBSERVATION_SECONDS
+            self.lags_ms.record_value(max(1, int(1000 * late_seconds)))
 
     async def _send_crashing_request(self, machine: Machine, number: int) -> None:
         """Send a read that crashes each upstream that runs it, the same one for each number."""
         suffix = f"{CRASHING_SUFFIX}/{number}"
         kind = next(kind for kind in self._shape.mesh.kinds if not kind.is_at_most_once)
-        async with aiohttp.ClientSession() as session:
+        async with create_session() as session:
             await self._crashing_caller.call(session, machine, kind, suffix)
 
     def _change_configuration(self) -> None:
@@ -132,6 +146,7 @@
         task.add_done_callback(self._configuration_writes.discard)
 
     async def _write_configuration(self) -> None:
+        sent_at = self._loop.time()
         await self._platform.write_unconditionally(
             "config",
             "main",
@@ -139,6 +154,8 @@
                 next(self._configuration_versions), self._shape.mesh, self._shape.deadline_seconds
             ),
         )
+        change = Change(sent_at, acknowledged_at=self._loop.time())
+        self.checker.timeline.planned_work.append(change)
 
     async def _clear_faults(self) -> None:
         await self._platform.set_faults(StoreFaults())
@@ -158,7 +175,7 @@
             for kind in self._shape.mesh.kinds
         }
         deadline = self._loop.time() + seconds
-        async with aiohttp.ClientSession() as session:
+        async with create_session() as session:
             while unserved and self._loop.time() < deadline:
                 are_served = await asyncio.gather(
                     *(caller.call(session, machine, kind) for machine, kind in unserved.values())
@@ -193,6 +210,7 @@
             "Directory in which to keep the settings and logs of the nodes",
             flag=False,
         ),
+        option("checkout", None, "Directory whose code the nodes run", flag=False),
     ]
 
     def handle(self) -> int:
@@ -208,7 +226,13 @@
         with tempfile.TemporaryDirectory() as temporary:
             directory = Path(self.option("keep") or temporary)
             directory.mkdir(parents=True, exist_ok=True)
-            soak = SoakTest(directory, seed, SHAPE_BY_NAME[self.option("shape")])
+            checkout = self.option("checkout")
+            soak = SoakTest(
+                directory,
+                seed,
+                SHAPE_BY_NAME[self.option("shape")],
+                Path(checkout).resolve() if checkout else None,
+            )
             await soak.run(float(self.option("seconds")))
         self.line(
             f"seed {seed} answers {json.dumps(soak.outcomes)} faults {json.dumps(soak.faults)} "
--- a/devtools/bamboo_bench/soak/faults.py
+++ b/devtools/bamboo_bench/soak/faults.py
@@ -25,7 +25,7 @@
 BURST_FACTOR = 3.0
 HASTY_RETRIES = 5
 # A crashing request comes again this often, with this time in between.
-CRASHING_REQUESTS = 4
+CRASHING_REQUESTS = 9
 CRASHING_REQUEST_GAP_SECONDS = 1.5
 PROXY_FAULTS = (
     ProxyFaults(cut=True),
--- a/devtools/bamboo_bench/soak/report.py
+++ b/devtools/bamboo_bench/soak/report.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 
-from bamboo_bench.soak.invariants import NOT_RUN_STATUSES, InvariantChecker
+from bamboo_bench.soak.invariants import InvariantChecker
+from bamboo_bench.soak.invariants.checker import NOT_RUN_STATUSES
 from bamboo_bench.soak.machines import Machine
 from bamboo_bench.soak.traffic import Traffic
 
--- a/devtools/bamboo_bench/soak/runs.py
+++ b/devtools/bamboo_bench/soak/runs.py
@@ -4,12 +4,14 @@
 import itertools
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import aiohttp
 
-from bamboo_bench.soak.invariants import InvariantChecker, Request
+from bamboo_bench.soak.exchange import send, unless_left
+from bamboo_bench.soak.invariants import EndKind, InvariantChecker, Request, Run
 from bamboo_bench.soak.shapes import Shape
-from bamboo_bench.soak.sites import HOST, TAIL_FACTORS, TAIL_PERIOD, Kind
+from bamboo_bench.soak.sites import HOST, TAIL_FACTORS, TAIL_PERIOD, TIMEOUT_SHARE, Kind
 
 # An upstream refuses a request when it holds this many times as many as it has slots.
 QUEUE_FACTOR = 3
@@ -23,7 +25,7 @@
 class Runs:
     """The requests that an upstream holds, of which as many run as it has slots.
 
-    ``caller_address`` is where they call other services.
+    ``caller_address`` is where they call other services, ``machine`` the name of their machine.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         clock: Callable[[], float],
     ):
         self.caller_address = ""
+        self.machine = ""
         self.slow_seconds = 0.0
         self.fails_some = False
         self.service = service
@@ -51,7 +54,7 @@
     def of_service(self, service: str) -> "Runs":
         """Return the runs of the next upstream on this machine, of another service."""
         runs = Runs(service, self._seed, self._checker, self._shape, self._clock)
-        runs.caller_address = self.caller_address
+        runs.caller_address, runs.machine = self.caller_address, self.machine
         return runs
 
     @property
@@ -79,28 +82,35 @@
         return service, path if body == kind.body(request_id) else f"{path} with another body"
 
     async def run(
-        self, session: aiohttp.ClientSession, path: str, request_id: str, remaining: float
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+        request_id: str,
+        run: Run,
+        remaining: float | None,
     ) -> int:
         """Run a request until its time is over, and return the status to answer with."""
+        seconds = self._shape.deadline_seconds if remaining is None else remaining
+        caller = _RunningRequest(session, request_id, run, self._clock() + seconds)
         self._held_count += 1
         try:
             if not self._shape.mesh.has_own_times:
-                return await self._run_small(session, path, request_id, remaining)
-            async with asyncio.timeout(remaining), self._slots:
-                return await self._run_kind(session, path, request_id, remaining)
+                return await self._run_small(caller, path)
+            async with asyncio.timeout(seconds), self._slots:
+                return await self._run_kind(caller, path)
         except TimeoutError:
             return 504
         finally:
             self._held_count -= 1
 
-    async def _run_kind(
-        self, session: aiohttp.ClientSession, path: str, request_id: str, remaining: float
-    ) -> int:
+    async def _run_kind(self, caller: "_RunningRequest", path: str) -> int:
         mesh = self._shape.mesh
         kind = mesh.kind_of(path)
         for called in mesh.kinds_called_by(kind):
-            left = min(remaining, called.deadline_seconds)
-            if await self._call(session, request_id, called.service, called.path, left) != 200:
+            timeout = called.deadline_seconds * TIMEOUT_SHARE
+            if not await self._call(
+                caller, called.service, called.path, called.deadline_seconds, timeout
+            ):
                 return 500
         await asyncio.sleep(self._draw_seconds(kind) + self.slow_seconds)
         return 500 if self.fails_some and self._random.random() < FAILING_SHARE else 200
@@ -111,42 +121,58 @@
             return kind.work_seconds * self._random.uniform(*TAIL_FACTORS)
         return kind.work_seconds * self._random.uniform(0.7, 1.3)
 
-    async def _run_small(
-        self, session: aiohttp.ClientSession, path: str, request_id: str, remaining: float
-    ) -> int:
+    async def _run_small(self, caller: "_RunningRequest", path: str) -> int:
         """Run a request of the small mesh, where a call of another one has the shortest work."""
         shape = self._shape
-        status = 200
+        is_served = True
         if callee := CALLEE_BY_SERVICE.get(self.service):
-            child_path = f"/{callee}{CHILD_SUFFIX}"
-            status = await self._call(session, request_id, callee, child_path, remaining)
+            times = (shape.deadline_seconds, shape.deadline_seconds)
+            is_served = await self._call(caller, callee, f"/{callee}{CHILD_SUFFIX}", *times)
         seconds = shape.work_seconds_min
         if not path.endswith(CHILD_SUFFIX):
             seconds = self._random.uniform(shape.work_seconds_min, shape.work_seconds_max)
         await asyncio.sleep(seconds + self.slow_seconds)
-        return 200 if status == 200 else 500
+        return 200 if is_served else 500
 
     async def _call(
         self,
-        session: aiohttp.ClientSession,
-        parent: str,
+        caller: "_RunningRequest",
         service: str,
         path: str,
-        remaining: float,
-    ) -> int:
-        """Call a service through the node of this machine; return its status, 500 without one."""
-        request_id = f"{parent}.{next(self._child_numbers)}"
-        deadline = self._clock() + remaining
-        self._checker.record_request(request_id, Request(service, False, path, deadline))
-        headers = request_headers(request_id, remaining)
-        try:
-            async with session.get(
-                f"http://{self.caller_address}{path}", headers=headers
-            ) as answer:
-                await answer.read()
-                return answer.status
-        except (aiohttp.ClientError, TimeoutError):
-            return 500
+        deadline_seconds: float,
+        timeout_seconds: float,
+    ) -> bool:
+        """Call a service through the node of this machine, and return whether it was served."""
+        request_id = f"{caller.request_id}.{next(self._child_numbers)}"
+        now = self._clock()
+        seconds = max(0.0, min(deadline_seconds, caller.ends_at - now))
+        call = Request(
+            service,
+            False,
+            path,
+            now + seconds,
+            self.machine,
+            now,
+            timeout_at=now + timeout_seconds,
+            parent=caller.run,
+        )
+        self._checker.record_request(request_id, call)
+        headers = request_headers(request_id, seconds)
+        url = f"http://{self.caller_address}{path}"
+        sent = send(caller.session, "GET", url, headers, seconds, self._clock)
+        exchange = await unless_left(call, sent)
+        self._checker.record_ending(request_id, exchange.ending)
+        return exchange.ending.kind is EndKind.WHOLE and exchange.ending.status == 200
+
+
+@dataclass(slots=True, frozen=True)
+class _RunningRequest:
+    """A request that runs until a time on the clock, and sends its calls over a session."""
+
+    session: aiohttp.ClientSession
+    request_id: str
+    run: Run
+    ends_at: float
 
 
 def request_headers(request_id: str, remaining: float) -> dict[str, str]:
--- a/devtools/bamboo_bench/soak/traffic.py
+++ b/devtools/bamboo_bench/soak/traffic.py
@@ -11,8 +11,10 @@
 import aiohttp
 from hdrh.histogram import HdrHistogram
 
-from bamboo_bench.soak.callers import Caller, Outcome
-from bamboo_bench.soak.invariants import NOT_RUN_STATUSES
+from bamboo_bench.soak.callers import Caller
+from bamboo_bench.soak.exchange import Exchange, create_session
+from bamboo_bench.soak.invariants import EndKind
+from bamboo_bench.soak.invariants.checker import NOT_RUN_STATUSES
 from bamboo_bench.soak.machines import Machine
 from bamboo_bench.soak.sites import Kind
 
@@ -53,9 +55,7 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Send requests until ``stop`` is set, then wait until each has come to its end."""
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_OPEN_SECONDS)
-        async with aiohttp.ClientSession(connector=connector) as session:
-            # Without this, the client would send a read once more by itself, under the same id.
-            session._retry_connection = False
+        async with create_session(connector) as session:
             checked_at = self._clock()
             while not stop.is_set():
                 now = self._clock()
@@ -82,18 +82,18 @@
         began_at = self._clock()
         retries = max(kind.retries, self.hasty_retries)
         for number in range(1 + retries):
-            outcome = await self._send(session, kind)
-            if outcome is None or not _may_repeat(kind, outcome):
+            exchange = await self._send(session, kind)
+            if exchange is None or not _may_repeat(kind, exchange):
                 return
             left = began_at + kind.deadline_seconds - self._clock()
-            wait = max(RETRY_WAIT_SECONDS, outcome.retry_after_seconds)
+            wait = max(RETRY_WAIT_SECONDS, exchange.retry_after_seconds)
             if self.hasty_retries:
                 wait = 0.0
             if number == retries or wait > left * RETRY_WAIT_SHARE:
                 return
             await asyncio.sleep(wait)
 
-    async def _send(self, session: aiohttp.ClientSession, kind: Kind) -> Outcome | None:
+    async def _send(self, session: aiohttp.ClientSession, kind: Kind) -> Exchange | None:
         """Send a request once; return None if its caller left early."""
         machine = self._random.choice(self._machines)
         counts = self.count_by_outcome_by_kind[kind.name]
@@ -102,19 +102,25 @@
         patience = EARLY_SHARE * kind.goal_seconds if self.leaves_early else None
         try:
             async with asyncio.timeout(patience):
-                outcome = await self._caller.send(session, machine, kind)
+                exchange = await self._caller.send(session, machine, kind)
         except TimeoutError:
             counts["left"] += 1
             return None
-        counts[str(outcome.status or "none")] += 1
-        if outcome.status == 200:
-            milliseconds = int(1000 * (self._clock() - sent_at))
+        ending = exchange.ending
+        if ending.kind is not EndKind.WHOLE:
+            counts["none"] += 1
+            return exchange
+        counts[str(ending.status)] += 1
+        if ending.status == 200:
+            milliseconds = int(1000 * (ending.at - sent_at))
             self.latency_by_kind[kind.name].record_value(max(1, milliseconds))
-        return outcome
+        return exchange
 
 
-def _may_repeat(kind: Kind, outcome: Outcome) -> bool:
+def _may_repeat(kind: Kind, exchange: Exchange) -> bool:
     """Return whether a caller repeats a request: a failed read, or one that did not run."""
-    if outcome.status in NOT_RUN_STATUSES:
-        return True
-    return not kind.is_at_most_once and (outcome.status == 0 or outcome.status >= 500)
+    ending = exchange.ending
+    if ending.kind is not EndKind.WHOLE:
+        return not kind.is_at_most_once
+    is_failed = ending.status >= 500 and not kind.is_at_most_once
+    return ending.status in NOT_RUN_STATUSES or is_failed
--- a/devtools/bamboo_bench/soak/upstreams.py
+++ b/devtools/bamboo_bench/soak/upstreams.py
@@ -9,13 +9,15 @@
 import aiohttp
 from aiohttp import web
 
-from bamboo_bench.soak.invariants import InvariantChecker
+from bamboo_bench.soak.exchange import create_session
+from bamboo_bench.soak.invariants import InvariantChecker, Run, RunEnd
 from bamboo_bench.soak.runs import Runs
 from bamboo_bench.soak.shapes import Shape
 from bamboo_standins.fault_proxy import FaultProxy
 from bamboo_standins.process_fleet import free_port
 
 HEARTBEAT_SECONDS = 0.4
+REPORT_TIMEOUT = aiohttp.ClientTimeout(total=3.0)
 CRASHING_SUFFIX = "/crashing"
 CRASH_SECONDS = 2.0
 ENDLESS_PIECE = b"8000\r\n" + b"x" * 0x8000 + b"\r\n"
@@ -47,6 +49,7 @@
         self.service = service
         self.host = host
         self.proxy: FaultProxy | None = None
+        self._current_runs: set[Run] = set()
         self.data_centre = ""
         self.report_address = ""
         self.drained_at: float | None = None
@@ -62,7 +65,7 @@
 
     async def start(self) -> str:
         """Listen on a free port and return the address."""
-        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=3.0))
+        self.session = create_session()
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._handle)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
@@ -154,7 +157,9 @@
             "born": self._started_ms,
         }
         try:
-            async with self.session.request(method, url, json=body) as answer:
+            async with self.session.request(
+                method, url, json=body, timeout=REPORT_TIMEOUT
+            ) as answer:
                 is_accepted = answer.status == 200
         except (aiohttp.ClientError, TimeoutError):
             return
@@ -168,25 +173,52 @@
         if not self._is_up:
             _abort(request)
             return web.Response()
+        service, path = self.runs.identify(request.path, request_id, await request.read())
+        self._checker.record_arrival(request_id, service, self._clock())
         if request.headers["Bamboojunction-Expect-Instance"] != self.instance_id:
             return web.Response(status=421, headers=headers)
-        remaining = int(request.headers["Bamboojunction-Deadline-Ms"]) / 1000
         if self.runs.is_full:
             headers["Bamboojunction-Not-Executed"] = "full"
             return web.Response(status=503, headers=headers)
-        service, path = self.runs.identify(request.path, request_id, await request.read())
-        self._checker.check_run(
-            request_id, service, path, self._clock(), remaining, self.drained_at
+        remaining = _remaining_seconds(request)
+        run = self._checker.check_run(
+            request_id,
+            service,
+            path,
+            self._clock(),
+            remaining,
+            self.drained_at,
+            self.runs.machine,
+            self.instance_id,
         )
+        self._current_runs.add(run)
+        try:
+            return await self._run(request, request_id, run, remaining, headers)
+        finally:
+            self._current_runs.discard(run)
+
+    async def _run(
+        self,
+        request: web.Request,
+        request_id: str,
+        run: Run,
+        remaining: float | None,
+        headers: dict[str, str],
+    ) -> web.StreamResponse:
         if CRASHING_SUFFIX in request.path:
-            self._checker.record_crash(request.path)
+            self._checker.record_crash(request.path, self._clock())
             self._crash_task = asyncio.create_task(self.crash(CRASH_SECONDS))
             await asyncio.sleep(CRASH_SECONDS)
-        status = await self.runs.run(self.session, request.path, request_id, remaining)
+        status = await self.runs.run(self.session, request.path, request_id, run, remaining)
         if self.sends_endless_bodies:
+            run.finish(self._clock(), RunEnd.BROKEN_OFF)
             await self._send_without_end(request, request_id)
-        if self.loses_answers or not self._is_up:
+        # A crash or a body without end has ended the run already.
+        if run.end is not None or self.loses_answers or not self._is_up:
             _abort(request)
+            if run.end is None:
+                run.finish(self._clock(), RunEnd.BROKEN_OFF)
+            return web.Response()
         headers["Bamboojunction-Server-Load"] = self.runs.load
         body = answer_body(request_id, request.path)
         response = web.Response(status=status, body=body, headers=headers)
@@ -196,6 +228,7 @@
                 await response.prepare(request)
                 await response.write_eof()
                 request.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore")
+        run.finish(self._clock(), RunEnd.ANSWERED)
         return response
 
     async def _end_server(self) -> None:
@@ -203,7 +236,9 @@
         if not self._is_up:
             return
         self._is_up = False
-        self.proxy.refuse_connections()
+        for run in self._current_runs:
+            run.finish(self._clock(), RunEnd.CRASHED)
+        self.proxy.refuse()
         await self._site.stop()
         for connection in list(self._runner.server.connections):
             connection.force_close()
@@ -233,6 +268,12 @@
             await asyncio.sleep(0.001)
 
 
+def _remaining_seconds(request: web.Request) -> float | None:
+    """Return the time that an upstream is given for a request, None if none is told."""
+    remaining = request.headers.get("Bamboojunction-Deadline-Ms")
+    return None if remaining is None else int(remaining) / 1000
+
+
 def _abort(request: web.Request) -> None:
     """Close the connection of a request without an answer, unless it is closed."""
     if request.transport is not None:
--- a/devtools/bamboo_standins/fault_proxy.py
+++ b/devtools/bamboo_standins/fault_proxy.py
@@ -101,17 +101,16 @@
         return self._source_faults_by_prefix[""].faults
 
     async def start(self) -> int:
-        """Start listening, on the same port as before if there was one, and return the port."""
+        """Start listening and return the port."""
         host, _, port = self._listen.rpartition(":")
         self._server = await asyncio.start_server(self._accept, host, int(port), backlog=1024)
-        self._listen = f"{host}:{(port := self._server.sockets[0].getsockname()[1])}"
+        port = self._server.sockets[0].getsockname()[1]
+        self._listen = f"{host}:{port}"
         return port
 
-    def refuse_connections(self) -> None:
-        """Stop listening and reset every connection, as if the server had ended."""
+    def refuse(self) -> None:
+        """Refuse new connections, as a host whose server has ended, until started again."""
         self._server.close()
-        for connection in list(self._connections):
-            connection.reset()
 
     def set_faults(self, faults: ProxyFaults, source_prefix: str = "") -> None:
         """Replace the faults; a cut resets open connections at once.
@@ -128,7 +127,8 @@
         """Clear the faults of all sources."""
         for source_faults in self._source_faults_by_prefix.values():
             source_faults.set_faults(ProxyFaults())
-        for prefix in [prefix for prefix in self._source_faults_by_prefix if prefix]:
+        prefixes = [prefix for prefix in self._source_faults_by_prefix if prefix]
+        for prefix in prefixes:
             del self._source_faults_by_prefix[prefix]
 
     def _faults_for(self, source: str) -> _SourceFaults:
@@ -140,8 +140,10 @@
 
     async def stop(self) -> None:
         """Stop listening and reset every connection."""
-        self.refuse_connections()
+        self._server.close()
         self.clear_faults()
+        for connection in list(self._connections):
+            connection.reset()
         # A task whose queue is full may wait forever for a sender that ended with its connection.
         for task in self._tasks:
             task.cancel()
--- a/tests/platform_node/test_upstream_connection.py
+++ b/tests/platform_node/test_upstream_connection.py
@@ -20,11 +20,19 @@
 from bamboojunction.upstreams import pool as pool_module
 from bamboojunction.upstreams.connection import ExchangeFailure, RawResponse, UpstreamConnection
 from bamboojunction.upstreams.pool import UpstreamPool
-from tests.endless import RESPONSES, EndlessServer
+from tests.endless import FILLER, RESPONSES, SOCKET_BUFFER_BYTES_MAX, EndlessServer
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 BODY_MAX_BYTES = 100_000
+CHUNKED_START = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+MORE_RESPONSES = {
+    "reason phrase": (b"HTTP/1.1 200 ", FILLER),
+    "chunk extension": (CHUNKED_START + b"1;", FILLER),
+    "chunk extensions": (CHUNKED_START, b"1;" + FILLER + b"\r\nx\r\n"),
+    "interim reason phrase": (b"HTTP/1.1 100 ", FILLER),
+}
 MEMORY_BYTES = 1_000_000
+STAMP = "Bamboojunction-Server-Stamp: s\r\n"
 COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -59,7 +67,7 @@
 
 
 def response(
-    request_id: str, body: bytes = b"ok", status: str = "200 OK", extra: str = ""
+    request_id: str, body: bytes = b"ok", status: str = "200 OK", extra: str = STAMP
 ) -> bytes:
     head = f"HTTP/1.1 {status}\r\nBamboojunction-Request-Id: {request_id}\r\n{extra}"
     return head.encode() + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
@@ -148,6 +156,26 @@
             result = await pool.exchange(REQUEST, is_idempotent=True)
         self.assertIs(result, ExchangeFailure.CLOSED)
 
+    async def test_connection_that_the_upstream_just_closed_carries_no_further_request(self):
+        """A request was reported as lost that was never sent, as its connection was closing."""
+        pool = await self.start_pool(ScriptedUpstream(COMPLETE_RESPONSE, at_end="close"))
+        at_end: list[asyncio.Task] = []
+
+        class Connection(UpstreamConnection):
+            def eof_received(self) -> bool:
+                stays_open = super().eof_received()
+                if not at_end:
+                    at_end.append(asyncio.create_task(pool.exchange(REQUEST, is_idempotent=False)))
+                return stays_open
+
+        with mock.patch.object(pool_module, "UpstreamConnection", Connection):
+            await pool.exchange(REQUEST, is_idempotent=False)
+            async with asyncio.timeout(5.0):
+                while not at_end:
+                    await asyncio.sleep(0.01)
+                result = await at_end[0]
+        self.assertEqual(getattr(result, "status", result), 200)
+
     async def test_lost_response_of_a_non_idempotent_request_is_never_sent_again(self):
         upstream = ScriptedUpstream(b"", at_end="close")
         pool = await self.start_pool(upstream)
@@ -186,7 +214,8 @@
         self.assertIs(result, ExchangeFailure.MALFORMED)
 
     async def test_bytes_without_end_are_cut_at_a_bound(self):
-        for name, (start, repeated) in RESPONSES.items():
+        """Chunks of one byte with long extensions went on until the body reached its bound."""
+        for name, (start, repeated) in (RESPONSES | MORE_RESPONSES).items():
             with self.subTest(name):
                 upstream = EndlessServer(start, repeated)
                 pool = await self.start_pool(upstream)
@@ -194,6 +223,7 @@
                     result = await pool.exchange(REQUEST, is_idempotent=False)
                     self.assertIs(result, ExchangeFailure.OVERSIZED)
                     await upstream.is_cut.wait()
+                self.assertLess(upstream.sent_bytes, SOCKET_BUFFER_BYTES_MAX)
 
     async def test_endless_bodies_are_freed_without_the_garbage_collector(self):
         """Bodies of failed responses stayed in memory, outside the budget, until a collection."""
