--- a/devtools/bamboo_bench/soak/command.py
+++ b/devtools/bamboo_bench/soak/command.py
@@ -11,24 +11,26 @@
 from aiohttp import web
 from cleo.commands.command import Command
 from cleo.helpers import option
+from hdrh.histogram import HdrHistogram
 
-from bamboo_bench.soak.callers import KINDS, Caller, configuration
+from bamboo_bench.soak.callers import Caller
 from bamboo_bench.soak.exchange import create_session
 from bamboo_bench.soak.faults import FaultInjector
 from bamboo_bench.soak.invariants import InvariantChecker
 from bamboo_bench.soak.invariants.timeline import STORE, Change, Disturbance
 from bamboo_bench.soak.machines import Machine
+from bamboo_bench.soak.report import report_lines
 from bamboo_bench.soak.shapes import MIXED, SHAPE_BY_NAME, Shape
+from bamboo_bench.soak.sites import configuration
+from bamboo_bench.soak.traffic import Traffic
 from bamboo_bench.soak.upstreams import CRASHING_SUFFIX, Upstream
 from bamboo_standins.platform import PlatformStandIn, StoreFaults
 
-# The service of each machine.
-SERVICES = ("menu", "pay", "stock", "menu", "pay", "stock")
-DATA_CENTRES = ("lac", "sakiet")
 STARTUP_TIMEOUT_SECONDS = 20.0
 RECOVERY_TIMEOUT_SECONDS = 15.0
 POLL_SECONDS = 0.2
 OBSERVATION_SECONDS = 0.1
+LAG_MAX_MS = 60_000
 
 
 class SoakTest:
@@ -45,6 +47,8 @@
         self._configuration_versions = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._configuration_writes: set[asyncio.Task] = set()
+        # How late the callers, upstreams and proxies of this process run.
+        self.lags_ms = HdrHistogram(1, LAG_MAX_MS, 2)
         self.checker = InvariantChecker(shape.is_planned_work)
         self.machines: list[Machine] = []
         self.outcomes: Counter[str] = Counter()
@@ -68,11 +72,12 @@
 
     async def _start_machines(self, store_address: str) -> None:
         await self._write_configuration()
-        for number, service in enumerate(SERVICES):
+        mesh = self._shape.mesh
+        for number, service in enumerate(mesh.services):
             host = f"127.30.{self._seed % 250}.{number + 1}"
             name = f"{service}-{number}"
             upstream = Upstream(service, host, self.checker, self._shape, self._loop.time)
-            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            data_centre = mesh.data_centres[number % len(mesh.data_centres)]
             self.machines.append(
                 Machine(name, upstream, data_centre, self._directory, self.checker, self._checkout)
             )
@@ -81,7 +86,11 @@
     async def _run_load(self, seconds: float) -> None:
         stop = asyncio.Event()
         callers = [self._create_caller(number) for number in range(self._shape.caller_count)]
-        tasks = [asyncio.create_task(caller.run(stop)) for caller in callers]
+        traffic_caller = self._create_caller(self._shape.caller_count + 2)
+        self.traffic = Traffic(
+            self.machines, self._shape.mesh.kinds, traffic_caller, self._seed, self._loop.time
+        )
+        tasks = [asyncio.create_task(each.run(stop)) for each in (*callers, self.traffic)]
         # One caller for all of them, as its seed gives the ids of its requests.
         self._crashing_caller = self._create_caller(self._shape.caller_count + 1)
         observation_task = asyncio.create_task(self._observe())
@@ -90,6 +99,7 @@
             self._platform,
             self._change_configuration,
             self._send_crashing_request,
+            self.traffic,
             self._shape,
             self._seed,
         )
@@ -98,7 +108,7 @@
         await asyncio.gather(*tasks)
         observation_task.cancel()
         self.faults = injector.count_by_fault
-        for caller in callers:
+        for caller in (*callers, traffic_caller):
             self.outcomes += caller.count_by_outcome
 
     def _create_caller(self, number: int) -> Caller:
@@ -120,12 +130,15 @@
                 disturbance.ended_at = now
                 disturbance = None
             await asyncio.sleep(OBSERVATION_SECONDS)
+            late_seconds = self._loop.time() - now - OBSERVATION_SECONDS
+            self.lags_ms.record_value(max(1, int(1000 * late_seconds)))
 
     async def _send_crashing_request(self, machine: Machine, number: int) -> None:
         """Send a read that crashes each upstream that runs it, the same one for each number."""
         suffix = f"{CRASHING_SUFFIX}/{number}"
+        kind = next(kind for kind in self._shape.mesh.kinds if not kind.is_at_most_once)
         async with create_session() as session:
-            await self._crashing_caller.call(session, machine, KINDS[0], suffix)
+            await self._crashing_caller.call(session, machine, kind, suffix)
 
     def _change_configuration(self) -> None:
         task = asyncio.create_task(self._write_configuration())
@@ -137,7 +150,9 @@
         await self._platform.write_unconditionally(
             "config",
             "main",
-            configuration(next(self._configuration_versions), self._shape.deadline_seconds),
+            configuration(
+                next(self._configuration_versions), self._shape.mesh, self._shape.deadline_seconds
+            ),
         )
         change = Change(sent_at, acknowledged_at=self._loop.time())
         self.checker.timeline.planned_work.append(change)
@@ -157,7 +172,7 @@
         unserved = {
             (machine.name, kind.path): (machine, kind)
             for machine in self.machines
-            for kind in KINDS
+            for kind in self._shape.mesh.kinds
         }
         deadline = self._loop.time() + seconds
         async with create_session() as session:
@@ -184,7 +199,7 @@
         option(
             "seconds", None, "Seconds of load and faults for each seed", flag=False, default="20"
         ),
-        option("shape", None, "Shape: mixed, stops or losses", flag=False, default="mixed"),
+        option("shape", None, f"Shape: {', '.join(SHAPE_BY_NAME)}", flag=False, default="mixed"),
         option("seed", None, "First seed; 0 uses the current time", flag=False, default="0"),
         option(
             "seeds", None, "Number of seeds to run, one after the other", flag=False, default="1"
@@ -221,8 +236,12 @@
             await soak.run(float(self.option("seconds")))
         self.line(
             f"seed {seed} answers {json.dumps(soak.outcomes)} faults {json.dumps(soak.faults)} "
-            f"peak {max(each.memory_peak_bytes for each in soak.machines) // 1_000_000} MB"
+            f"peak {max(each.memory_peak_bytes for each in soak.machines) // 1_000_000} MB "
+            f"lag of the run p99 {soak.lags_ms.get_value_at_percentile(99)} ms, "
+            f"most {soak.lags_ms.get_max_value()} ms"
         )
+        for line in report_lines(soak.traffic, soak.checker, soak.machines):
+            self.line(line)
         for violation in soak.checker.violations:
             self.line(f"seed {seed} BROKEN {violation}")
         return len(soak.checker.violations)
--- a/devtools/bamboo_bench/soak/invariants/budgets.py
+++ b/devtools/bamboo_bench/soak/invariants/budgets.py
@@ -117,16 +117,33 @@
 
 def _describe_excess(times: list[float], sent_times: list[float], end: float) -> str | None:
     """Return how the window that ends at a time exceeds the limit, None if it does not."""
+    repeats, requests, allowed = _count_window(times, sent_times, end)
+    if repeats <= allowed:
+        return None
+    return f"{repeats} repeats for {requests} requests, {allowed:.0f} are allowed"
+
+
+def worst_windows(
+    repeated_at_by_service: dict[str, list[float]], sent_at_by_service: dict[str, list[float]]
+) -> Iterator[tuple[str, int, int, int]]:
+    """Yield each service, its repeats, the most of them in a window and those allowed in that."""
+    for service, times in repeated_at_by_service.items():
+        sent_times = sent_at_by_service.get(service, [])
+        repeats, _, allowed = max(_count_window(times, sent_times, end) for end in times)
+        yield service, len(times), repeats, int(allowed)
+
+
+def _count_window(
+    times: list[float], sent_times: list[float], end: float
+) -> tuple[int, int, float]:
+    """Return the repeats and the requests of the window that ends at a time, and the limit."""
     window = bounds.REPEAT_WINDOW_SECONDS
     repeats = _count_between(times, end - window, end)
     requests = max(
         _count_between(sent_times, end - back - window, end - back)
         for back in (0.0, window / 2, window)
     )
-    allowed = bounds.REPEAT_RATIO * requests + bounds.REPEAT_SLACK
-    if repeats <= allowed:
-        return None
-    return f"{repeats} repeats for {requests} requests, {allowed:.0f} are allowed"
+    return repeats, requests, bounds.REPEAT_RATIO * requests + bounds.REPEAT_SLACK
 
 
 def _count_between(times: list[float], start: float, end: float) -> int:
--- a/devtools/bamboo_bench/soak/invariants/checker.py
+++ b/devtools/bamboo_bench/soak/invariants/checker.py
@@ -157,5 +157,9 @@
         for subject, detail in violations:
             self._record_violation(invariant, subject, detail)
 
+    def repeat_rows(self) -> Iterable[tuple[str, int, int, int]]:
+        """Return each service, its repeats, the most in a window and those allowed in that."""
+        return budgets.worst_windows(self._repeated_at_by_service, self._sent_at_by_service)
+
     def _record_violation(self, invariant: str, subject: str, detail: str) -> None:
         self.violations.append(f"{invariant}: {subject}: {detail}")
