Counted no pauses before a node has started

Cause: for a second after a gap of its event loop a node takes its length off the time left of each call. The first gap was the start itself, with a collection of all objects after the node had begun to serve.

Change: the collection comes before the node listens on its links, and the pauses are counted from there, as peers send no call before they have been answered.

Evidence: the new test printed 0.506 != 0.0 s for a node that starts half a second after it was made.

--- a/bamboojunction/core/pause_detector.py
+++ b/bamboojunction/core/pause_detector.py
@@ -28,6 +28,11 @@
         self._last_tick_at = now
         self._pauses: deque[tuple[float, float]] = deque()
 
+    def restart(self, now: float) -> None:
+        """Forget all pauses, as no message has come before now."""
+        self._last_tick_at = now
+        self._pauses.clear()
+
     def tick(self, now: float) -> float:
         """Record a tick and return the length in seconds of the pause that it ended, or 0."""
         gap = now - self._last_tick_at
--- a/bamboojunction/management/commands/mesh.py
+++ b/bamboojunction/management/commands/mesh.py
@@ -105,8 +105,9 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(load_checked_settings()))
     for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop.set)
-    await node.start()
+    # A collection of all objects takes long, so that calls would wait for it.
     tune_collection()
+    await node.start()
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
     await stop.wait()
     await node.stop()
--- a/bamboojunction/platform_node/process.py
+++ b/bamboojunction/platform_node/process.py
@@ -191,6 +191,8 @@
 
     async def start(self) -> None:
         """Listen on the links and for callers, and start the background tasks."""
+        # Peers send calls only after this node has answered on their links.
+        self._pause_detector.restart(self._loop.time())
         await self.link_server.start_on(self._listeners.links)
         await self.server.start()
         self.store_sync.start()
--- a/tests/platform_node/test_stops.py
+++ b/tests/platform_node/test_stops.py
@@ -6,7 +6,10 @@
 
 from bamboo_standins.platform import StoreFaults
 from bamboojunction.core.graceful_shutdown import DURATION_SAMPLES_MIN
-from bamboojunction.core.pause_detector import PAUSE_CHECK_INTERVAL_SECONDS
+from bamboojunction.core.pause_detector import (
+    PAUSE_CHECK_INTERVAL_SECONDS,
+    PAUSE_MIN_SECONDS,
+)
 from bamboojunction.platform_node.process import CALLER_DRAIN_SECONDS, PlatformNode
 from tests.platform_node.base import FleetTestCase
 from tests.platform_node.fleet import configuration, route
@@ -39,6 +42,16 @@
             await self.fleet.wait_until(lambda found=local_upstream: found.are_departures_known)
             self.assertFalse(local_upstream.is_serving)
 
+    async def test_calls_to_a_node_that_started_slowly_keep_their_time(self):
+        """Calls to a node that had just started were refused, as if they had waited for it."""
+        machine = self.fleet.machines["a"]
+        await machine.node.close()
+        machine.node = PlatformNode(machine.settings, machine.log_descriptor)
+        await asyncio.sleep(2 * PAUSE_MIN_SECONDS)
+        await machine.node.start()
+        now = asyncio.get_running_loop().time()
+        self.assertEqual(machine.node._pause_detector.max_message_age(now), 0.0)
+
     async def test_upstream_that_outlives_its_node_serves_again(self):
         await self.configure_and_join()
         machine = self.fleet.machines["a"]
