Suspected requests again that another one's ban had cleared

Cause: a ban clears the requests that were in flight at the same crashes. Peers took that for an answer to the request, and do not suspect one that was answered for a minute.

Change: a clearance tells whether the request has completed, on the links as well.

The new test printed the second request missing from the bans before.

--- a/bamboojunction/core/poison/decisions.py
+++ b/bamboojunction/core/poison/decisions.py
@@ -31,9 +31,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Clearance:
-    """The end of a suspicion: the request completed, or another one caused the crash."""
+    """The end of a suspicion: the request completed, or another one may explain its crashes.
+
+    Only a request with ``has_completed`` is known to crash no upstream.
+    """
 
     fingerprint: int
+    has_completed: bool = True
 
 
 Finding = Ban | Suspicion | Clearance
--- a/bamboojunction/core/poison/guard.py
+++ b/bamboojunction/core/poison/guard.py
@@ -180,9 +180,10 @@
             case Ban():
                 self._add_ban(finding)
                 return []
-            case Clearance(fingerprint=fingerprint):
-                # Recorded as completed because the suspicion may arrive after its clearance.
-                self._remember_completed(fingerprint, now)
+            case Clearance(fingerprint=fingerprint, has_completed=has_completed):
+                if has_completed:
+                    # The suspicion may arrive after its clearance.
+                    self._remember_completed(fingerprint, now)
                 self._suspects_by_fingerprint.pop(fingerprint, None)
                 return []
             case Suspicion(fingerprint=fingerprint):
@@ -291,7 +292,7 @@
         ]
         for fingerprint in explained:
             del self._suspects_by_fingerprint[fingerprint]
-        return [Clearance(fingerprint) for fingerprint in explained]
+        return [Clearance(fingerprint, has_completed=False) for fingerprint in explained]
 
     def _crash_count(self, fingerprint: int) -> int:
         suspect = self._suspects_by_fingerprint.get(fingerprint)
--- a/bamboojunction/links/messages.py
+++ b/bamboojunction/links/messages.py
@@ -179,9 +179,14 @@
 
 
 class PoisonClearance(Message, tag=41):
-    """The fingerprint of a request that is no longer suspected."""
+    """The fingerprint of a request that is no longer suspected.
+
+    ``has_completed`` is set if the request was answered, and not if another one may have crashed
+    the upstream.
+    """
 
     fingerprint: int
+    has_completed: bool = True
 
 
 class Heartbeat(Message, tag=8):
--- a/bamboojunction/node/poison_broadcaster.py
+++ b/bamboojunction/node/poison_broadcaster.py
@@ -82,8 +82,8 @@
         match finding:
             case Ban(fingerprint=fingerprint, expires_at=expires_at):
                 messages.append(PoisonBan(fingerprint, expires_at - now))
-            case Clearance(fingerprint=fingerprint):
-                messages.append(PoisonClearance(fingerprint))
+            case Clearance(fingerprint=fingerprint, has_completed=has_completed):
+                messages.append(PoisonClearance(fingerprint, has_completed))
     suspicions = (finding for finding in findings if isinstance(finding, Suspicion))
     for crash_id, group in groupby(suspicions, key=lambda suspicion: suspicion.crash_id):
         members = list(group)
@@ -104,8 +104,8 @@
     match message:
         case PoisonBan(fingerprint=fingerprint, remaining=remaining):
             return [Ban(fingerprint, now + remaining)]
-        case PoisonClearance(fingerprint=fingerprint):
-            return [Clearance(fingerprint)]
+        case PoisonClearance(fingerprint=fingerprint, has_completed=has_completed):
+            return [Clearance(fingerprint, has_completed)]
         case PoisonSuspicions():
             return [
                 Suspicion(
--- a/tests/poison/test_guard.py
+++ b/tests/poison/test_guard.py
@@ -141,6 +141,15 @@
             for guard in self.fleet.by_name.values():
                 self.assertFalse(guard.is_suspect(fingerprint, 0.3))
 
+    def test_second_crashing_request_is_banned_after_the_first(self):
+        """A request that a ban had cleared counted as completed, and was never suspected again."""
+        self.fleet.crash_with("a", [POISON, 7], 0.0, 0.1)
+        self.fleet.crash_with("b", [POISON], 0.2, 0.3)
+        self.assertEqual({POISON}, self.fleet.banned(0.3))
+        for name, second in (("c", 3.0), ("a", 6.0)):
+            self.fleet.crash_with(name, [7], second, second + 0.1)
+        self.assertEqual({POISON, 7}, self.fleet.banned(6.1))
+
 
 class QuarantineTests(unittest.TestCase):
     def setUp(self):
